Bound what a client's request may announce before anything is set aside for it

hiredis makes a list as long as an array announces.

Requests are now read by a small parser with bounds on elements, bytes and line length, checked where a size is announced. hiredis is no longer needed.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -10,12 +10,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import hiredis
+from hopmill.net.resp import IMPROPER, MAX_BODY, Improper, ProtocolError, RequestReader
 
-MAX_BODY = 64 * 1024
-MAX_REQUEST = 4 * MAX_BODY  # bytes of one unfinished request; over this its framing is given up
 WORD = re.compile(rb"[\x21-\x7e]{1,256}")
-NOTHING = object()
 log = logging.getLogger(__name__)
 
 
@@ -95,9 +92,8 @@
 
     def __init__(self, server: ClientServer) -> None:
         self.server = server
-        self.reader = hiredis.Reader(notEnoughData=NOTHING)
+        self.reader = RequestReader()
         self.pending: deque[Reply] = deque()
-        self.unread = 0
         self.gone = self.closing = False
         self.transport: asyncio.Transport
 
@@ -125,14 +121,10 @@
             return
         self.server.touch(self)
         self.reader.feed(data)
-        self.unread += len(data)
         try:
-            while (request := self.reader.gets()) is not NOTHING:
-                self.unread = 0
+            while (request := self.reader.next()) is not None:
                 self._handle(request)
-            if self.unread > MAX_REQUEST:
-                raise hiredis.ProtocolError("request too large")
-        except hiredis.ProtocolError as error:  # where the next request begins can't be known any more
+        except ProtocolError as error:  # where the next request begins can't be known any more
             self.closing = True
             self._reply().send(b"-ERR Protocol error: %s\r\n" % _line(str(error)))
 
@@ -140,9 +132,9 @@
         self.pending.append(Reply(self))
         return self.pending[-1]
 
-    def _handle(self, request: object) -> None:
+    def _handle(self, request: list[bytes] | Improper) -> None:
         reply = self._reply()
-        if not isinstance(request, list) or not request or not all(isinstance(a, bytes) for a in request):
+        if request is IMPROPER:
             reply.send(b"-ERR expected an array of bulk strings\r\n")
             return
         name = request[0].upper()
@@ -171,7 +163,7 @@
 
     @property
     def between_requests(self) -> bool:
-        return not self.pending and not self.unread
+        return not self.pending and not self.reader.unread
 
     def finish(self) -> None:
         """Close once nothing is pending."""
