End a call whose answer's body passes 64 KiB instead of keeping it

Whatever an endpoint sent as a body was kept until the call was over. A single call's body means nothing and is not kept at all; a bundle's answer that is longer than the protocol's bound can't be read: a failed attempt that may have run. The connection is closed.

--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -17,6 +17,7 @@
 IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
 IDLE_EACH = 8  # idle connections kept to one endpoint
 TAIL_S = 1.0  # how long the rest of an answer whose status line has come is waited for
+MAX_ANSWER = 64 * 1024  # bytes of an answer's body: what is longer is no answer, and is not waited for
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
           "used_up": Result.MOOT}
 log = logging.getLogger(__name__)
@@ -103,7 +104,7 @@
         self.calls, self.endpoint, self.items = calls, endpoint, items
         self.path = path  # of a probe
         self.started = calls.loop.time()
-        self.status, self.headers, self.body = 0, {}, bytearray()
+        self.status, self.headers, self.body, self.received = 0, {}, bytearray(), 0
         self.connection: Connection | None = None
         longest = max((i.timeout_us for i in items), default=0)
         self.timers: list[asyncio.TimerHandle] = []
@@ -141,7 +142,13 @@
         self.timer(TAIL_S, self.abandon)
 
     def data(self, data: bytes) -> None:
-        self.body += data
+        self.received += len(data)
+        if self.received > MAX_ANSWER:
+            log.warning("endpoint %d: an answer is over %d bytes", self.endpoint, MAX_ANSWER)
+            self.abandon()
+            self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers)))
+        elif len(self.items) > 1:  # a single call's body means nothing
+            self.body += data
 
     def lost(self, written: bool) -> None:
         if self.path:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -5,7 +5,7 @@
 import threading
 
 import pytest
-from loopback import Endpoint, answer, bounded
+from loopback import Endpoint, answer, bounded, read_request
 
 from hopmill.interface import Result
 from hopmill.net import calls as c
@@ -75,6 +75,37 @@
     asyncio.run(run())
 
 
+class Flood(Endpoint):
+    """Answers each call with a body that does not end."""
+
+    async def serve(self, reader, writer):
+        await read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 60000000000\r\n\r\n")
+        try:
+            while True:
+                writer.write(b"x" * 50_000)
+                await writer.drain()
+        finally:
+            self.ended.put_nowait(None)
+
+
+@pytest.mark.parametrize(("ids", "outcome"), [
+    (("a",), c.Outcome(Result.OK, over=True)),  # the first line had come
+    (("a", "b"), c.Outcome(Result.ERROR)),  # it may have run
+])
+def test_an_answer_that_does_not_end_is_not_kept(ids, outcome, monkeypatch):
+    monkeypatch.setattr(c, "TAIL_S", 1000.0)
+
+    async def run():
+        endpoint = await Flood().start()
+        o = Outcomes()
+        assert await o.send(endpoint.port, *ids, timeout_us=1_000_000_000) == [(i, outcome) for i in ids]
+        await bounded(endpoint.ended.get())  # the connection was closed, and not because of a time-out
+        assert not o.calls.out
+        await endpoint.stop()
+    asyncio.run(run())
+
+
 def test_a_refused_connection_never_ran():
     async def run():
         o = Outcomes()
