Count a whole first line with 200 as delivered when the rest can't be read

An answer whose headers are over h11's bound, malformed or cut off was a reset, also where its first line said 200. The connection now keeps the first line; a call that is lost or times out within the headers asks it. Bundles stay as they were.

--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -153,15 +153,21 @@
     def lost(self, written: bool) -> None:
         if self.path:
             self.calls.probe_ended(self, Result.RESET)
-        self.finish_all(Outcome(Result.RESET if written else Result.CONNECT_FAILED))
+        self.finish_all(self.unread_outcome(Result.RESET if written else Result.CONNECT_FAILED))
         self.calls.release(self)
 
+    def unread_outcome(self, result: Result) -> Outcome:
+        """Of a call whose answer could not be read to its headers' end; a single one's first line is true."""
+        if len(self.items) == 1 and self.connection is not None and self.connection.status == 200:
+            return Outcome(Result.OK, over=True)
+        return Outcome(result)
+
     def timed_out(self) -> None:
         """The courier stops waiting: the connection goes too, or a late answer would meet the next call."""
         sent = self.connection is not None and self.connection.exchange is self and self.connection.written
         if self.path:
             self.calls.probe_ended(self, Result.TIMEOUT)
-        outcome = Outcome(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
+        outcome = self.unread_outcome(Result.TIMEOUT) if sent else Outcome(Result.CONNECT_FAILED)
         self.abandon()
         self.finish_all(outcome)
 
--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import errno
+import re
 import socket
 from collections.abc import Callable, Sequence
 
@@ -20,6 +21,8 @@
 Headers = Sequence[tuple[str, str]]
 LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 READ_BYTES = 1 << 16
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: [^\n]*)?\r?\n")
+MAX_STATUS_LINE = 256
 
 
 class Exchange:
@@ -47,7 +50,7 @@
         self.exchange: Exchange | None = None
         self.on_close: Callable[[], None] = lambda: None
         self.closed = False
-        self._out, self._sent = b"", 0
+        self._out, self._sent, self._in = b"", 0, b""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)  # OSError: see LOCAL_ERRORS
         self.sock.setblocking(False)
@@ -56,6 +59,12 @@
     def written(self) -> bool:
         return self._sent == len(self._out)
 
+    @property
+    def status(self) -> int:
+        """What the newest answer's first line says, 0 if not whole; it holds if the rest can't be read."""
+        line = STATUS_LINE.match(self._in)
+        return int(line[1]) if line else 0
+
     def connect(self, done: Callable[[OSError | None], None]) -> None:
         """Call `done` once, from the loop, with what stood in the way."""
         code = self.sock.connect_ex(self.address)
@@ -98,7 +107,7 @@
         if body:
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
-        self._out, self._sent = b"".join(p for p in parts if p), 0
+        self._out, self._sent, self._in = b"".join(p for p in parts if p), 0, b""
         self._write()
 
     def _write(self) -> None:
@@ -124,6 +133,7 @@
         if self.exchange is None:  # an end, or bytes that nobody asked for
             self.close()
             return
+        self._in += data[:MAX_STATUS_LINE - len(self._in)]
         try:
             self.http.receive_data(data)
             self._events()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -98,7 +98,8 @@
 
 
 class Endpoint(Server):
-    """Answers calls by a script, then 200. A step is bytes, a function of the body, 'reset' or 'hang'."""
+    """Answers calls by a script, then 200. A step is bytes, a function of the body, 'reset', 'hang', or
+    ('end', bytes): the connection ends after these."""
 
     def __init__(self, *script):
         super().__init__()
@@ -119,6 +120,9 @@
                 if step == "hang":
                     await reader.read()
                     return
+                if isinstance(step, tuple):
+                    writer.write(step[1])
+                    return
                 writer.write(step if isinstance(step, bytes) else step(body))
         finally:
             self.ended.put_nowait(None)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -56,6 +56,14 @@
     ("hang", c.Outcome(Result.TIMEOUT)),
     (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", c.Outcome(Result.OK, over=True)),
     (b"nonsense\r\n\r\n", c.Outcome(Result.RESET)),
+    # Only the first line of such an answer can be read: where it is whole and says 200, it is true.
+    (b"HTTP/1.1 200 OK\r\n" + b"X-Pad: p\r\n" * 9000, c.Outcome(Result.OK, over=True)),
+    (b"HTTP/1.1 200 OK\r\nno header\r\n\r\n", c.Outcome(Result.OK, over=True)),
+    (b"HTTP/1.1 200\r\nContent-Length: -1\r\n\r\n", c.Outcome(Result.OK, over=True)),
+    (("end", b"HTTP/1.1 200 OK\r\nContent-Le"), c.Outcome(Result.OK, over=True)),
+    (("end", b"HTTP/1.1 200 O"), c.Outcome(Result.RESET)),
+    (b"HTTP/1.1 2000 OK\r\nno header\r\n\r\n", c.Outcome(Result.RESET)),
+    (b"HTTP/1.1 500 x\r\nno header\r\n\r\n", c.Outcome(Result.RESET)),
 ])
 def test_each_answer_has_its_outcome(step, outcome):
     async def run():
@@ -106,6 +114,29 @@
     asyncio.run(run())
 
 
+def test_a_call_that_times_out_within_the_headers_keeps_its_first_line():
+    async def run():
+        endpoint = await Endpoint(b"HTTP/1.1 200 OK\r\nX-Pad: ").start()
+        o = Outcomes()
+        sending = asyncio.ensure_future(o.send(endpoint.port, "a", timeout_us=1_000_000_000))
+        while not any(call.connection and call.connection.status == 200 for call in o.calls.out):
+            await asyncio.sleep(0.01)
+        next(iter(o.calls.out)).timed_out()
+        assert await sending == [("a", c.Outcome(Result.OK, over=True))]
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+def test_a_bundles_first_line_says_nothing_of_its_messages():
+    async def run():
+        endpoint = await Endpoint(b"HTTP/1.1 200 OK\r\nno header\r\n\r\n").start()
+        o = Outcomes()
+        ends = await o.send(endpoint.port, "a", "b")
+        assert ends == [(i, c.Outcome(Result.RESET)) for i in "ab"]
+        await endpoint.stop()
+    asyncio.run(run())
+
+
 def test_a_refused_connection_never_ran():
     async def run():
         o = Outcomes()
