Close peers that send no whole request in time, or do not read their answers

Nothing ended a connection on which nothing, or a part of a request, had come: it held its descriptor for good, and one with a partial request could not even be closed to make room. A peer now has 2.2 s for its first proper request, for each further one from its first byte, and for reading its answers; then it gets an error line and a close. Peers with a proper request behind them keep their idle connections as before.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -13,6 +13,9 @@
 from hopmill.net.resp import IMPROPER, MAX_BODY, Improper, ProtocolError, RequestReader
 
 WORD = re.compile(rb"[\x21-\x7e]{1,256}")
+# A peer gets so long, in seconds, for its first proper request from when it connected, for a later one from
+# its first byte, and for reading its answers. TERMS owes an error line or a close in 3 s.
+REQUEST_S = 2.2
 log = logging.getLogger(__name__)
 
 
@@ -94,26 +97,59 @@
         self.server = server
         self.reader = RequestReader()
         self.pending: deque[Reply] = deque()
-        self.gone = self.closing = False
+        self.gone = self.closing = self.paused = False
+        self.proper = False  # whether it has sent a proper request
         self.transport: asyncio.Transport
+        self.timer: asyncio.TimerHandle | None = None  # runs while the peer owes something
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        self._review()
         self.server.joined(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.gone = True
+        self._stop_timer()
         self.server.left(self)
 
+    def _review(self) -> None:
+        """The timer runs while the peer owes a whole request, or to read its answers."""
+        if not self.proper or self.reader.unread or self.paused or self.closing:
+            if self.timer is None and not self.gone:
+                self.timer = asyncio.get_running_loop().call_later(REQUEST_S, self._overdue)
+        elif self.timer is not None:
+            self._stop_timer()
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _overdue(self) -> None:
+        """Nothing else ends a peer that sends nothing, or never ends its request, and holds a descriptor."""
+        self.timer = None
+        if self.closing or self.transport.get_write_buffer_size():  # it does not read either
+            self.transport.abort()
+            return
+        self.closing = True
+        if self.reader.unread:
+            self._reply().send(b"-ERR no whole request in time\r\n")
+        self.flush()
+        self._review()
+
     def eof_received(self) -> bool:
         """A client that has ended its sending still gets the answers that it waits for."""
         self.closing = True
         return bool(self.pending)
 
     def pause_writing(self) -> None:
+        self.paused = True
+        self._review()
         self.transport.pause_reading()  # one that does not read its answers is not read from either
 
     def resume_writing(self) -> None:
+        self.paused = False
+        self._review()
         self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -127,6 +163,13 @@
         except ProtocolError as error:  # where the next request begins can't be known any more
             self.closing = True
             self._reply().send(b"-ERR Protocol error: %s\r\n" % _line(str(error)))
+        self._review()
+
+    def _proper(self) -> None:
+        """A proper request is whole: the time for the next one counts anew."""
+        self.proper = True
+        if not self.paused:
+            self._stop_timer()
 
     def _reply(self) -> Reply:
         self.pending.append(Reply(self))
@@ -139,10 +182,12 @@
             return
         name = request[0].upper()
         if name == b"PING" and len(request) <= 2:
+            self._proper()
             reply.send(b"$%d\r\n%s\r\n" % (len(request[1]), request[1]) if request[1:] else b"+PONG\r\n")
         elif name == b"MSG.PUT":
             try:
                 self.server.put(parse_put(request[1:]), reply)
+                self._proper()
             except BadRequest as error:
                 log.warning("a message was turned down: %s", error)
                 reply.send(b"-ERR %s\r\n" % _line(str(error)))
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -259,6 +259,46 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(("first", "then", "said"), [
+    (b"", b"", b""), (b"*5\r\n$7\r\nMSG.PUT", b"", b"-ERR no whole request in time\r\n"),
+    (b"NOPE", b"", b"-ERR Protocol error"),
+    (b"*1\r\n$4\r\nPING\r\n", b"*1\r\n$4\r\nPI", b"+PONG\r\n-ERR no whole"),
+    (b"*1\r\n$4\r\nNOPE\r\n", b"", b"-ERR unknown command\r\n")])
+def test_a_peer_that_sends_no_proper_request_is_closed(tmp_path, monkeypatch, first, then, said):
+    monkeypatch.setattr("hopmill.net.clients.REQUEST_S", 0.1)
+
+    async def run():
+        async with Fleet(tmp_path) as fleet:
+            client = await fleet.inside()
+            assert await client.send(client.command(b"PING")) == "+PONG"
+            peer = await Client().open(client.writer.get_extra_info("peername")[1])
+            peer.writer.write(first + then)
+            got = await bounded(peer.reader.read())
+            assert got.startswith(said) and (said or not got)
+            # One whose request was proper keeps its connection.
+            assert await client.send(client.command(b"PING")) == "+PONG"
+            assert len(fleet.host.clients.clients) == 1
+    asyncio.run(run())
+
+
+def test_a_peer_that_does_not_read_its_answers_is_closed(tmp_path, monkeypatch):
+    monkeypatch.setattr("hopmill.net.clients.REQUEST_S", 0.1)
+
+    async def run():
+        async with Fleet(tmp_path) as fleet:
+            client = await fleet.inside()
+            assert await client.send(client.command(b"PING")) == "+PONG"
+            client.writer.transport.pause_reading()
+            client.writer.write(client.command(b"PING", b"x" * 60_000) * 400)  # more than any buffer holds
+
+            async def closed():
+                while fleet.host.clients.clients:
+                    await asyncio.sleep(0.01)
+            await bounded(closed())
+            client.writer.transport.abort()
+    asyncio.run(run())
+
+
 @courier
 async def test_a_client_that_ends_its_sending_still_hears_its_answer(fleet):
     # Ending a connection with no answer loses the message.
