--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -16,6 +16,7 @@
 # A peer gets so long, in seconds, for its first proper request from when it connected, for a later one from
 # its first byte, and for reading its answers. TERMS owes an error line or a close in 3 s.
 REQUEST_S = 2.2
+MAX_DEST = 0xFFFF  # destinations have 16 bits
 log = logging.getLogger(__name__)
 
 
@@ -70,8 +71,11 @@
         raise BadRequest("k: must be printable characters")
     if "c" not in fields:
         raise BadRequest("c: lacks")
-    return Put(ident.decode(), order_key(order), fields["c"], fields.get("t"), _number(fields, "d"),
-               _number(fields, "dest"), key, fields.get("r") == "1", body)
+    dest = _number(fields, "dest")
+    if dest > MAX_DEST:
+        raise BadRequest(f"dest: over {MAX_DEST}")
+    return Put(ident.decode(), order_key(order), fields["c"], fields.get("t"), _number(fields, "d"), dest,
+               key, fields.get("r") == "1", body)
 
 
 class Reply:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -163,10 +163,13 @@
             raise BadRequest("t: no such tenant")
         if self.s.classes[cls].effect is i.Effect.KEYED and not put.key:
             raise BadRequest("k: lacks, and the class is keyed")
+        # PROTOCOL has zeros there unless the class keeps an order; a known id is answered all the same.
+        if put.order and not self.s.classes[cls].ordered and not self._known(put.id):
+            raise BadRequest("key: must be zeros, for the class keeps no order")
         if put.id in self.arriving:
             self.arrived[self.arriving[put.id]][1].append(reply)
             return
-        if put.id in self.journal.ids or put.id in self.journal.over:
+        if self._known(put.id):
             reply.send(b"+OK\r\n")  # handed in again on a new connection: it is, or was, taken care of
             return
         if sum(not m.status for m in self.journal.held.values()) + len(self.arrived) >= self.s.max_held:
@@ -181,6 +184,9 @@
         self.arriving[m.id] = m.number
         self.tell(self._arrival(m))
 
+    def _known(self, ident: str) -> bool:
+        return ident in self.arriving or ident in self.journal.ids or ident in self.journal.over
+
     def _replace(self, m: Held) -> None:
         """A key that is still open here is handed in again only by a client that gave the older one up."""
         if not m.key:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -99,6 +99,8 @@
            c(b"MSG.PUT", b"0", b"id", b"c=safe,t=t,d=x,dest=7", b""),
            c(b"MSG.PUT", b"0", b"id", b"c=keyed,t=t,d=900,dest=7", b""),
            c(b"MSG.PUT", b"0", b"id", b"c=safe,t=nobody,d=900,dest=7", b""),
+           c(b"MSG.PUT", b"0", b"id", b"c=safe,t=t,d=900,dest=70000", b""),
+           c(b"MSG.PUT", b"91ec6abcf5bef80f", b"id", b"c=safe,t=t,d=900,dest=7", b""),
            c(b"MSG.PUT", b"0", b"i d", b"c=safe,t=t,d=900,dest=7", b""),
            c(b"MSG.PUT", b"0", b"id", b"\xff\xfe", b""),
            client.message("big", body=b"x" * 65537)]
@@ -115,6 +117,20 @@
     assert await bounded(client.reader.read()) == b""
 
 
+@courier
+async def test_a_key_counts_only_where_the_class_keeps_an_order(fleet):
+    fleet.raw["classes"][0]["sequential"] = True
+    await fleet.endpoint("a")
+    client = await fleet.inside()
+
+    def put(ident, kind):
+        fields = f"c={kind},t=t,d=6000,dest=7".encode()
+        return client.send(client.command(b"MSG.PUT", b"91ec6abcf5bef80f", ident, fields, b""))
+    assert (await put(b"m1", "unsafe")).startswith("-ERR key")
+    assert await put(b"m1", "safe") == "+OK"
+    assert await put(b"m1", "unsafe") == "+OK"  # its id is known: it is taken care of
+
+
 @courier
 async def test_discovery_lost_and_back(fleet):
     await fleet.endpoint("a")
