Take SIGHUP as a changed configuration: discovery moves to the file's address

SIGHUP ended the process (its default action), which counts as a crash. The file is now read again and the watch and the notices go on at the address that it names, the watch from the version held; what the old place has not answered is asked of the new one. The environment still names the old place, so the file alone counts here. A file that can't be read changes nothing.

--- a/hopmill/__main__.py
+++ b/hopmill/__main__.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-from hopmill.net.config import Config, ConfigError, load
+from hopmill.net.config import Config, ConfigError, discovery_in_file, load
 from hopmill.net.host import Host
 
 
@@ -28,11 +28,23 @@
         return self.count <= self.a_second
 
 
+def reload(host: Host) -> None:
+    """SIGHUP: the configuration was replaced. One that can't be read changes nothing."""
+    try:
+        address = discovery_in_file(os.environ)
+    except ConfigError as error:
+        logging.error("the new configuration is not used: %s", error)
+        return
+    logging.info("discovery is at %s:%d now", *address)
+    host.move_discovery(address)
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     host = Host(loop, config)
     loop.add_signal_handler(signal.SIGTERM, host.terminate)
     loop.add_signal_handler(signal.SIGINT, host.terminate)
+    loop.add_signal_handler(signal.SIGHUP, reload, host)
     port = await host.start()
     logging.info("%s is ready on port %d with %d messages restored", config.name, port,
                  len(host.journal.held))
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -61,6 +61,11 @@
         zones=tuple(str(z) for z in given.get("localities") or ()))
 
 
+def discovery_in_file(env: Mapping[str, str]) -> Address:
+    """Where the file alone says discovery is: after a SIGHUP the environment still names the old place."""
+    return parse_address(_read(env).get("discovery"), "discovery")
+
+
 def _read(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get("LB_CONFIG")
     if not path:
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -80,6 +80,20 @@
         if not self.stopped:
             self.after(self.backoff.next(), self.open)
 
+    def move(self, address: Address) -> None:
+        """Go on at another address; what the old one has not answered is asked of the new one again."""
+        self.address = address
+        self.backoff.reset()
+        if self.connection is not None:
+            self.connection.close()
+        if self.wanted:
+            self.open()
+
+    @property
+    def wanted(self) -> bool:
+        """Whether there is anything to ask for just now."""
+        return True
+
     def stop(self) -> None:
         self.stopped = True
         if self.timer:
@@ -160,6 +174,10 @@
             self.busy = True
             self.loop.call_soon(self._next)
 
+    @property
+    def wanted(self) -> bool:
+        return self.busy
+
     def _next(self) -> None:
         if not self.waiting:
             self.busy = False
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -12,7 +12,7 @@
 from hopmill.brain import Courier
 from hopmill.net.calls import Calls, Hooks, Item, Outcome
 from hopmill.net.clients import BadRequest, ClientServer, Put, Reply
-from hopmill.net.config import Config, ConfigError, parse_address
+from hopmill.net.config import Address, Config, ConfigError, parse_address
 from hopmill.net.discovery import Notices, Watch
 from hopmill.net.state import Held, Journal
 
@@ -378,6 +378,11 @@
                             float(target.get("capacity_hint") or 0.0), kind, zone)
         return entry, parse_address(target["endpoint"], "endpoint")
 
+    def move_discovery(self, address: Address) -> None:
+        """A changed configuration: the list comes from there and notices go there from now on."""
+        self.watch.move(address)
+        self.notices.move(address)
+
     # The end
 
     def terminate(self) -> None:
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import subprocess
 import sys
 import time
 
-from loopback import ROOT, Client, answer, bounded, courier
+from loopback import ROOT, Client, Discovery, answer, bounded, courier
 
 from hopmill.net.state import Held, Journal, frame
 
@@ -185,6 +186,35 @@
     assert fleet.process.returncode is None
 
 
+@courier
+async def test_sighup_moves_discovery(fleet):
+    # The environment goes on naming the old place; the file names the new one.
+    a = await fleet.endpoint("a", answer(500))
+    client = await fleet.outside()
+    await bounded(fleet.discovery.watches.get())
+    old, fleet.discovery = fleet.discovery, Discovery()
+    await fleet.discovery.start()
+    fleet.discovery.targets = old.targets
+    await old.stop()
+    b = await fleet.endpoint("b", dest=8)
+    fleet.discovery.rev = 9
+    path = fleet.folder / "config.json"
+    config = json.loads(path.read_text())
+    path.write_text("{")
+    fleet.process.send_signal(signal.SIGHUP)  # one that can't be read changes nothing
+    while "is not used" not in (line := (await bounded(fleet.process.stderr.readline())).decode()):
+        assert line, "the courier ended"
+    path.write_text(json.dumps({**config, "discovery": f"127.0.0.1:{fleet.discovery.port}"}))
+    fleet.process.send_signal(signal.SIGHUP)
+    assert (await bounded(fleet.discovery.watches.get())).endswith("from=1")
+    assert await client.put("m1", dest=8) == "+OK"
+    assert (await b.call())[1]["x-request-id"] == "m1"
+    assert await client.put("m2", kind="unsafe") == "+OK"
+    await a.call()
+    assert await fleet.discovery.final() == {"id": "m2", "status": "undeliverable"}
+    assert fleet.process.returncode is None
+
+
 def test_a_wrong_configuration_ends_with_one_line_and_status_2(tmp_path):
     env = {**os.environ, "LB_CONFIG": str(tmp_path / "none"), "LB_STATE": str(tmp_path)}
     command = [sys.executable, "-m", "hopmill"]
