Take an answer or a list line nested too deep as one that can't be read

json raises RecursionError, no ValueError, for 64 KiB of brackets. It left the read callback of a bundle's call before the call was released: its slot stayed taken until its time-out, and what it carried was held up as long. The watch had the same fault for a line, and for a version that is no finite number.

The test fails without the change.

--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -92,7 +92,7 @@
         rows = json.loads(body)
         states = {str(row["id"]): STATES[row["state"]] for row in rows}
         voids = {str(row["id"]) for row in rows if row["state"] in ("done", "void")}
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):  # the last one: nested too deep
         return {}
     return {i: Outcome(r, i in voids, wait_us) for i, r in states.items()}
 
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -136,7 +136,7 @@
             rev, targets = int(change["rev"]), change["targets"]
             if not isinstance(targets, list):
                 raise ValueError("targets")
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
             log.error("discovery: a line that can't be read: %r", error)
             self.rev = 0  # what it said is lost: ask for all anew
             self.retry()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -127,6 +127,19 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("rows", [b"[" * 60_000, b"{}", b"[1]", b'[{"id":"a","state":[]}]', b"nan"])
+def test_a_bundles_answer_that_cannot_be_read_frees_its_slot(rows):
+    async def run():
+        endpoint = await Endpoint(answer(200, rows)).start()
+        o = Outcomes()
+        ends = await o.send(endpoint.port, "a", "b")
+        assert ends == [(i, c.Outcome(Result.ERROR)) for i in "ab"]  # it may have run
+        assert not o.calls.out
+        o.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
+
+
 def test_a_bundles_first_line_says_nothing_of_its_messages():
     async def run():
         endpoint = await Endpoint(b"HTTP/1.1 200 OK\r\nno header\r\n\r\n").start()
