Skip a list entry with no finite figure or a host name instead of failing on it

An entry with pod_group Infinity raised OverflowError out of the watch's read callback: all of that line's news was lost, drains included. A capacity_hint that is infinite or no number reached the decision module, which would pace by it; a host name in place of an address would have been looked up, which blocks the loop. Such entries are now logged and left out, the others hold.

Four of the test's entries fail without the change.

--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import logging
+import math
 import time
 from collections.abc import Iterable
 from typing import Any
@@ -350,7 +352,7 @@
         for target in change.get("targets", []):
             try:
                 entry, address = self._entry(target)
-            except (KeyError, TypeError, ValueError, ConfigError) as error:
+            except (KeyError, TypeError, ValueError, OverflowError, ConfigError) as error:
                 log.error("discovery: an entry that can't be read: %r", error)
                 continue
             entries.append(entry)
@@ -374,9 +376,13 @@
     def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, tuple[str, int]]:
         number = self.uids.setdefault(str(target["uid"]), len(self.uids) + 1)
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
-        entry = i.ListEntry(number, int(target["pod_group"]), STATES[target["state"]],
-                            float(target.get("capacity_hint") or 0.0), kind, zone)
-        return entry, parse_address(target["endpoint"], "endpoint")
+        rate = float(target.get("capacity_hint") or 0.0)
+        if not math.isfinite(rate):  # the decision module would pace by it
+            raise ValueError("capacity_hint")
+        entry = i.ListEntry(number, int(target["pod_group"]), STATES[target["state"]], rate, kind, zone)
+        address = parse_address(target["endpoint"], "endpoint")
+        ipaddress.ip_address(address[0])  # a name would be looked up, and block the loop
+        return entry, address
 
     def move_discovery(self, address: Address) -> None:
         """A changed configuration: the list comes from there and notices go there from now on."""
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -131,6 +131,22 @@
     assert await put(b"m1", "unsafe") == "+OK"  # its id is known: it is taken care of
 
 
+@pytest.mark.parametrize("bad", [
+    {"pod_group": float("inf")}, {"pod_group": "x"}, {"capacity_hint": float("nan")},
+    {"capacity_hint": float("inf")}, {"endpoint": "partner.invalid:80"}, {"endpoint": "127.0.0.1:99999"},
+    {"endpoint": None}, {"state": []}, {"model": {}}, {"uid": None, "state": "no such"}])
+def test_a_bad_list_entry_leaves_the_others_in_force(tmp_path, bad):
+    async def run():
+        async with Fleet(tmp_path) as fleet:
+            await fleet.endpoint("a")
+            await fleet.inside()
+            good = dict(fleet.discovery.target("b", 80, 8))
+            fleet.host.listed({"all": False, "targets": [{**good, "uid": "c", **bad}, good, None, 5]})
+            uids = fleet.host.uids
+            assert [n for n in ("a", "b", "c", "None") if uids.get(n) in fleet.host.entries] == ["a", "b"]
+    asyncio.run(run())
+
+
 @courier
 async def test_discovery_lost_and_back(fleet):
     await fleet.endpoint("a")
