Accept a few connections a turn and close another spare for each that joins

The closed one now leaves the list at once, and 16 are accepted in a turn while 512 may wait.

The test fails without either part.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -6,6 +6,7 @@
 import hashlib
 import logging
 import re
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,6 +17,10 @@
 # A peer gets so long, in seconds, for its first proper request from when it connected, for a later one from
 # its first byte, and for reading its answers. TERMS owes an error line or a close in 3 s.
 REQUEST_S = 2.2
+BACKLOG = 512  # connections that wait to be accepted
+# Accepted in one turn of the loop; some turns pass until these are counted and others closed to make room.
+# With no descriptor left asyncio logs and sets a timer for each.
+ACCEPTS = 16
 MAX_DEST = 0xFFFF  # destinations have 16 bits
 log = logging.getLogger(__name__)
 
@@ -214,6 +219,11 @@
     def between_requests(self) -> bool:
         return not self.pending and not self.reader.unread
 
+    def finish_now(self) -> None:
+        self.closing = True
+        self.transport.close()
+        self._review()  # one that does not read would linger
+
     def finish(self) -> None:
         """Close once nothing is pending."""
         if self.between_requests:
@@ -235,14 +245,18 @@
 
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Client(self), host, port, backlog=512)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        self.server = await loop.create_server(lambda: Client(self), sock=sock, backlog=ACCEPTS)
+        sock.listen(BACKLOG)  # asyncio uses one figure for both
         return self.server.sockets[0].getsockname()[1]
 
     def joined(self, client: Client) -> None:
         self.clients[client] = None
         if len(self.clients) > self.max_clients:  # open files must stay under the limit
             spare = next((c for c in self.clients if c.between_requests), client)
-            spare.transport.close()
+            self.left(spare)  # or the next to join in this turn of the loop would close the same again
+            spare.finish_now()
 
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -186,6 +187,24 @@
     assert fleet.process.returncode is None
 
 
+@courier
+async def test_a_burst_of_connections_leaves_descriptors_for_the_rest(fleet):
+    fleet.limits["sockets"] = 120
+    await fleet.outside(files=120)
+    fleet.process.send_signal(signal.SIGSTOP)  # so that all of them wait to be accepted at once
+    crowd = []
+    for _ in range(300):
+        crowd.append(socket.create_connection(("127.0.0.1", fleet.port)))
+    fleet.process.send_signal(signal.SIGCONT)
+    late = await Client().open(fleet.port)
+    assert await late.send(late.command(b"PING")) == "+PONG"
+    await fleet.kill()
+    said = (await bounded(fleet.process.stderr.read())).decode()
+    assert "out of system resource" not in said
+    for peer in crowd:
+        peer.close()
+
+
 @courier
 async def test_sighup_moves_discovery(fleet):
     # The environment goes on naming the old place; the file names the new one.
