--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -211,9 +211,13 @@
         return at if time.time() - at < self.key_s else 0.0
 
     def _remember_over(self, ident: str, at: float) -> None:
-        if ident not in self.over:
+        if self.over.pop(ident, None) is None:
             self.live += EACH
-        self.over[ident] = at
+        self.over[ident] = at  # the newest last
+        # Not only when the file is rewritten: how often that is hangs on the disk limit, not on the ids' age.
+        while at - self.over[oldest := next(iter(self.over))] >= OVER_S:
+            del self.over[oldest]
+            self.live -= EACH
 
     def _remember_key(self, key: str, at: float) -> None:
         if key not in self.keys:
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -242,6 +242,22 @@
     assert done.stderr.count("\n") == 1
 
 
+def test_ids_are_forgotten_as_they_age_and_not_only_at_a_rewrite(tmp_path, monkeypatch):
+    now = [1000.0]
+    monkeypatch.setattr("hopmill.net.state.time.time", lambda: now[0])
+    journal = Journal(tmp_path, 100_000_000)
+    monkeypatch.setattr(journal, "compact", lambda: None)
+    most = 0
+    for number in range(1, 2000):
+        now[0] += 0.1
+        journal.take(Held(number, f"m{number}", 0, 0, 7, "", now[0] + 6, False, b"x"))
+        journal.done(number)
+        most = max(most, len(journal.over))
+    assert most <= 30 / 0.1 + 1 and "m1999" in journal.over
+    assert journal.live == 160 * len(journal.over)
+    journal.close()
+
+
 def test_ids_that_nobody_needs_any_more_do_not_keep_new_messages_out(tmp_path):
     # They are forgotten only when the journal is compacted: a small limit filled up with them before.
     journal = Journal(tmp_path, 60_000)
