--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -77,7 +77,10 @@
         payload = data[at + FRAME.size:at + FRAME.size + size]
         if len(payload) != size or zlib.crc32(payload) != checksum or not size:
             break
-        records.append(msgpack.unpackb(payload))
+        try:
+            records.append(msgpack.unpackb(payload))
+        except (ValueError, msgpack.exceptions.UnpackException) as error:
+            log.error("journal: a record that can't be read: %r", error)
         at += FRAME.size + size
     return records, at
 
@@ -108,7 +111,10 @@
             log.warning("journal: cut off a torn tail of %d bytes", len(data) - end)
             os.ftruncate(self.file, end)
         for record in records:
-            self._apply(record)
+            try:
+                self._apply(record)
+            except (TypeError, ValueError, LookupError, AttributeError) as error:
+                log.error("journal: a record that can't be used: %r", error)
         return end
 
     def close(self) -> None:
@@ -199,7 +205,7 @@
                     self.live -= m.bytes
                     self._remember_over(m.id, record[2])
         elif kind == "known":
-            self.last = record[1]
+            self.last = max(self.last, record[1])
             for ident, at in record[2].items():
                 self._remember_over(ident, at)
             for key, at in record[3].items():
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -9,10 +9,12 @@
 import subprocess
 import sys
 import time
+import zlib
 
+import pytest
 from loopback import ROOT, Client, Discovery, answer, bounded, courier
 
-from hopmill.net.state import Held, Journal, frame
+from hopmill.net.state import FRAME, Held, Journal, frame
 
 
 @courier
@@ -242,6 +244,17 @@
     assert done.stderr.count("\n") == 1
 
 
+@pytest.mark.parametrize("bad", [
+    frame(["take", 1]), frame(5), frame([]), frame({"a": 1}), frame(["try", 7, 1.0]), frame(["known", 1]), frame(["known", "x", {}, {}]),
+    FRAME.pack(1, zlib.crc32(b"\xc1")) + b"\xc1", b"\0" * 4096, b"\xff" * 4096])
+def test_a_bad_record_does_not_keep_the_courier_from_starting(tmp_path, bad):
+    good = Held(3, "m3", 0, 0, 7, "", time.time() + 9, False, b"x")
+    (tmp_path / "messages.journal").write_bytes(frame(good.record()) + bad)
+    journal = Journal(tmp_path, 100_000)
+    assert list(journal.held) == [3]
+    journal.close()
+
+
 def test_ids_are_forgotten_as_they_age_and_not_only_at_a_rewrite(tmp_path, monkeypatch):
     now = [1000.0]
     monkeypatch.setattr("hopmill.net.state.time.time", lambda: now[0])
