--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -246,7 +246,8 @@
 
 @pytest.mark.parametrize("bad", [
     frame(["take", 1]), frame(5), frame([]), frame({"a": 1}), frame(["try", 7, 1.0]), frame(["known", 1]),
-    frame(["known", "x", {}, {}]), FRAME.pack(1, zlib.crc32(b"\xc1")) + b"\xc1", b"\0" * 4096, b"\xff" * 4096])
+    frame(["known", "x", {}, {}]), FRAME.pack(1, zlib.crc32(b"\xc1")) + b"\xc1",
+    b"\0" * 4096, b"\xff" * 4096])
 def test_a_bad_record_does_not_keep_the_courier_from_starting(tmp_path, bad):
     good = Held(3, "m3", 0, 0, 7, "", time.time() + 9, False, b"x")
     (tmp_path / "messages.journal").write_bytes(frame(good.record()) + bad)
