Cap clients at 0.3 of the descriptors, under the third that they may hold

The terms let clients hold a third of the descriptors for their requests. The courier closed idle connections only when there were more than half of them, so clients that keep theirs stood at their limit and could not ask at all: such requests end as refused and never reach a courier. Over the cap the longest unused connection makes room, as before.

The test fails without the change.

--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -22,8 +22,9 @@
           "terminated": i.EndpointState.GONE}
 OVERDUE_S = 0.1  # a message this long past its time with no end is ended here: the last line of defence
 UNRUN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
-# Shares of the limit on open files; the rest is for calls, discovery, the journal and Python itself.
-CLIENT_SHARE, IDLE_SHARE = 0.5, 0.2
+# Shares of the limit on open files; the rest is for calls, discovery, the journal and Python itself. Clients
+# may hold a third: over that they can't ask at all, so idle connections are closed before there are so many.
+CLIENT_SHARE, IDLE_SHARE = 0.3, 0.2
 # A planned restart, in seconds from SIGTERM: new clients come until LISTEN_S, calls may last until CALLS_S.
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
 log = logging.getLogger(__name__)
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -117,6 +117,21 @@
     assert await bounded(client.reader.read()) == b""
 
 
+@courier
+async def test_idle_clients_are_closed_before_they_hold_a_third_of_the_descriptors(fleet):
+    fleet.limits["sockets"] = 120
+    first = await fleet.inside()
+    port = first.writer.get_extra_info("peername")[1]
+    crowd = [first]
+    for _ in range(60):
+        assert len(fleet.host.clients.clients) < 120 / 3
+        crowd.append(await Client().open(port))
+        assert await crowd[-1].send(first.command(b"PING")) == "+PONG"
+    assert await bounded(first.reader.read()) == b""  # the longest unused first
+    for client in crowd:
+        client.writer.close()
+
+
 @courier
 async def test_a_key_counts_only_where_the_class_keeps_an_order(fleet):
     fleet.raw["classes"][0]["sequential"] = True
