--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -237,7 +237,6 @@
         self.put, self.max_clients = put, max_clients
         self.clients: dict[Client, None] = {}  # the longest unused first
         self.server: asyncio.Server | None = None
-        self.ending = False
 
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
@@ -261,6 +260,10 @@
         if client in self.clients:
             self.clients[client] = self.clients.pop(client)
 
+    @property
+    def listening(self) -> bool:
+        return self.server is not None and self.server.is_serving()
+
     def stop_listening(self) -> None:
         if self.server is not None:
             self.server.close()
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -32,6 +32,7 @@
     known: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
+    operator: Address | None = None  # where operators call, if anywhere
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -47,6 +48,7 @@
     raw = _read(env)
     limits = _mapping(raw, "limits")
     given = _mapping(raw, "settings")
+    door = env.get("LB_OPERATOR") or raw.get("operator")
     state = Path(env.get("LB_STATE", ""))
     if not env.get("LB_STATE") or not state.is_dir():
         raise ConfigError(f"LB_STATE: must be a folder, not {env.get('LB_STATE')!r}")
@@ -58,7 +60,8 @@
         sockets=int(_number(limits, "sockets", 1024)),
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
         known=_known(_mapping(raw, "known")), settings=_settings(given),
-        zones=tuple(str(z) for z in given.get("localities") or ()))
+        zones=tuple(str(z) for z in given.get("localities") or ()),
+        operator=parse_address(door, "LB_OPERATOR") if door else None)
 
 
 def discovery_in_file(env: Mapping[str, str]) -> Address:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -16,6 +16,7 @@
 from hopmill.net.clients import BadRequest, ClientServer, Put, Reply
 from hopmill.net.config import Address, Config, ConfigError, parse_address
 from hopmill.net.discovery import Notices, Watch
+from hopmill.net.operator import Door, Routes
 from hopmill.net.state import Held, Journal
 
 STATES = {"in_service": i.EndpointState.READY, "terminating": i.EndpointState.DRAINING,
@@ -61,6 +62,7 @@
         self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)))
         self.notices = Notices(loop, config.discovery, self._accepted)
         self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
+        self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck)), config.sockets)
 
     async def start(self) -> int:
         """Restore, take the first turn, then listen: a PING is answered from here on. Returns the port."""
@@ -69,7 +71,10 @@
             self._restore(m)
         self.turn()
         self.watch.open()
-        return await self.clients.listen(*self.config.listen)
+        port = await self.clients.listen(*self.config.listen)
+        if self.config.operator:
+            await self.door.listen(self.config.operator)
+        return port
 
     def _restore(self, m: Held) -> None:
         if m.status:
@@ -390,6 +395,12 @@
         self.watch.move(address)
         self.notices.move(address)
 
+    # Operators
+
+    def _healthcheck(self) -> tuple[int, dict[str, Any]]:
+        taking = self.clients.listening and not self.closing_at
+        return 200 if taking else 503, {"taking_clients": taking}
+
     # The end
 
     def terminate(self) -> None:
@@ -412,8 +423,7 @@
     def _maybe_exit(self) -> None:
         # What still waits for its turn may be sent until the last call must have begun.
         done = not self.calls.out and not self.journal.held and not self.events and not self.arrived
-        listening = self.clients.server is not None and self.clients.server.is_serving()
-        if self.closing_at and done and not self.clients.clients and not listening:
+        if self.closing_at and done and not self.clients.clients and not self.clients.listening:
             self._exit()
 
     def _exit(self) -> None:
@@ -426,6 +436,7 @@
         self.notices.stop()
         self.calls.close()
         self.clients.stop_listening()
+        self.door.close()
         self.journal.close()
 
 
--- /dev/null
+++ b/hopmill/net/operator.py
@@ -0,0 +1,183 @@
+"""The operators' door: HTTP/1.1, one call per connection. What a call does is the host's affair."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import re
+import socket
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import unquote, urlsplit
+
+import h11
+
+from hopmill.net.config import Address
+
+CALL_S = 3.0  # for a whole call
+LINGER_S = 0.5  # for the caller to read its answer and end; closing on unread bytes would take it away again
+MAX_CALL = 8192  # bytes of a call
+MAX_CALLS, SHARE = 32, 1 / 16  # connections at once, and their share of the descriptors
+BACKLOG = 64
+log = logging.getLogger(__name__)
+
+# What a call does: it is given the words of the path that the pattern leaves open.
+Handler = Callable[..., tuple[int, dict[str, Any]]]
+
+
+class Refused(Exception):
+    """A call that gets a 4xx or 5xx, and no handler."""
+
+    def __init__(self, status: int, text: str, **headers: str) -> None:
+        super().__init__(text)
+        self.status, self.headers = status, headers
+
+
+class Routes:
+    """Methods and paths with their handlers; '*' in a path stands for any one word."""
+
+    def __init__(self, *rows: tuple[str, str, Handler]) -> None:
+        self.rows = [(method, re.compile(re.escape(path).replace(r"\*", "([^/]+)")), handler)
+                     for method, path, handler in rows]
+
+    def answer(self, method: str, target: str) -> tuple[int, dict[str, Any]]:
+        try:
+            path = urlsplit(target).path
+        except ValueError:
+            raise Refused(400, "the target can't be read") from None
+        found = [(m, match, handler) for m, pattern, handler in self.rows
+                 if (match := pattern.fullmatch(path))]
+        if not found:
+            raise Refused(404, "no such path")
+        for known, match, handler in found:
+            if known == method:
+                return handler(*(unquote(word) for word in match.groups()))
+        raise Refused(405, "wrong method", Allow=", ".join(known for known, _, _ in found))
+
+
+class Caller(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_CALL)
+        self.request: h11.Request | None = None
+        self.received, self.answered = 0, False
+        self.transport: asyncio.Transport
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self._after(CALL_S, self._overdue)
+        self.door.joined(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.door.callers.pop(self, None)
+
+    def _after(self, delay: float, action: Callable[[], None]) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_later(delay, action)
+
+    def _overdue(self) -> None:
+        self._answer(408, {"error": "no whole call in time"})
+
+    def eof_received(self) -> bool:
+        if self.answered:
+            return False
+        self._read(b"")  # a call cut short is answered too, for those that still read
+        return not self.transport.is_closing()
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered:
+            return  # one call per connection
+        self.received += len(data)
+        if self.received > MAX_CALL:
+            self._answer(413, {"error": f"a call is at most {MAX_CALL} bytes"})
+            return
+        self._read(data)
+
+    def _read(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            while (event := self.http.next_event()) is not h11.NEED_DATA:
+                if isinstance(event, h11.Request):
+                    self.request = event
+                elif isinstance(event, h11.EndOfMessage) and self.request:
+                    self._call(self.request.method.decode(), self.request.target.decode("latin-1"))
+                    return
+                elif isinstance(event, h11.ConnectionClosed):
+                    self.transport.close()
+                    return
+            if self.http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                self.transport.write(self.http.send(go_on) or b"")
+        except h11.RemoteProtocolError as error:
+            self._answer(400, {"error": str(error)})
+
+    def _call(self, method: str, target: str) -> None:
+        try:
+            status, body = self.door.routes.answer(method, target)
+            headers = {}
+        except Refused as error:
+            status, body, headers = error.status, {"error": str(error)}, error.headers
+        except OSError as error:  # what must last could not be recorded, so it is not done
+            log.error("operator: %s %s: %s", method, target, error)
+            status, body, headers = 503, {"error": "can't be recorded"}, {}
+        log.info("operator: %s %.200s: %d", method, target, status)
+        self._answer(status, body, headers)
+
+    def _answer(self, status: int, body: dict[str, Any], headers: dict[str, str] | None = None) -> None:
+        self.answered = True
+        text = json.dumps(body).encode() + b"\n"
+        fields = [("Content-Type", "application/json"), ("Content-Length", str(len(text))),
+                  ("Connection", "close"), *(headers or {}).items()]
+        try:
+            parts = [self.http.send(h11.Response(status_code=status, headers=fields)),
+                     self.http.send(h11.Data(data=text)) if not self._is_head else b""]
+        except h11.LocalProtocolError:  # the caller's side is beyond an answer
+            self.transport.close()
+            return
+        self.transport.write(b"".join(part for part in parts if part))
+        if not self.transport.is_closing():
+            self.transport.write_eof()
+        self._after(LINGER_S, self.transport.abort)
+
+    @property
+    def _is_head(self) -> bool:
+        return self.request is not None and self.request.method == b"HEAD"
+
+
+class Door:
+    """Listens at the operators' address."""
+
+    def __init__(self, routes: Routes, sockets: int) -> None:
+        self.routes = routes
+        self.max_callers = max(4, min(MAX_CALLS, int(sockets * SHARE)))
+        self.callers: dict[Caller, None] = {}  # the oldest first
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, address: Address) -> int:
+        host, port = address
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.create_server(address, family=family, backlog=BACKLOG)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=self.max_callers)
+        sock.listen(BACKLOG)  # asyncio uses one figure for both
+        return self.server.sockets[0].getsockname()[1]
+
+    def joined(self, caller: Caller) -> None:
+        self.callers[caller] = None
+        if len(self.callers) > self.max_callers:  # one answered already, or the longest without a call
+            spare = next((c for c in self.callers if c.answered), next(iter(self.callers)))
+            self.callers.pop(spare)  # or the next to join in this turn of the loop would close the same again
+            spare.transport.abort()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for caller in list(self.callers):
+            caller.transport.abort()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -214,6 +214,11 @@
         return await self.send(self.message(ident, **more))
 
 
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
 class Fleet:
     """Endpoints and discovery, with the courier either in this process or in one of its own."""
 
@@ -221,6 +226,7 @@
         self.folder, self.raw = folder, raw or settings()
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3, **limits}
         self.discovery, self.endpoints, self.host, self.process = Discovery(), {}, None, None
+        self.door, self.port = free_port(), 0
 
     async def __aenter__(self):
         (self.folder / "state").mkdir(exist_ok=True)
@@ -247,12 +253,14 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         return {"LB_NAME": "n0", "LB_LISTEN": "127.0.0.1:0", "LB_CONFIG": str(path),
+                "LB_OPERATOR": f"127.0.0.1:{self.door}" if self.door else "",
                 "LB_DISCOVERY": f"127.0.0.1:{self.discovery.port}", "LB_STATE": str(self.folder / "state")}
 
     async def inside(self):
         """Start the courier in this process; returns a client of it."""
         self.host = Host(asyncio.get_running_loop(), load(self.env()))
-        return await Client().open(await self.host.start())
+        self.port = await self.host.start()
+        return await Client().open(self.port)
 
     async def outside(self, files=0):
         """Start the courier in a process of its own; returns a client of it."""
