Drain the courier by the door: PING says no and connections close between requests

Ruled out before: the door's speed, since both calls were answered 404 at once. The tests fail without the change.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import hashlib
 import logging
 import re
 import socket
+import termios
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,6 +21,9 @@
 # connections be closed after 2 s: clients may only have so many, and those kept idle are missing for others.
 REQUEST_S = 2.05
 BACKLOG = 512  # connections that wait to be accepted
+# A drain, in seconds: the front asks ten times a second, and new clients come until 0.2 s after a no. From
+# EMPTY_S on connections are closed between requests, those of quiet clients once quiet for QUIET_S.
+EMPTY_S, QUIET_S, SWEEP_S = 0.5, 0.2, 0.05
 # Accepted in one turn of the loop; some turns pass until these are counted and others closed to make room.
 # With no descriptor left asyncio logs and sets a timer for each.
 ACCEPTS = 16
@@ -108,11 +113,13 @@
         self.reader = RequestReader()
         self.pending: deque[Reply] = deque()
         self.gone = self.closing = self.paused = False
+        self.heard_at = 0.0  # when it last sent anything, or connected
         self.transport: asyncio.Transport
         self.timer: asyncio.TimerHandle | None = None  # for the next request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        self.heard_at = asyncio.get_running_loop().time()
         self._review()
         self.server.joined(self)
 
@@ -162,6 +169,7 @@
         if self.closing:
             return
         self.server.touch(self)
+        self.heard_at = asyncio.get_running_loop().time()
         self.reader.feed(data)
         try:
             while (request := self.reader.next()) is not None:
@@ -188,7 +196,10 @@
         name = request[0].upper()
         if name == b"PING" and len(request) <= 2:
             self._proper()
-            reply.send(b"$%d\r\n%s\r\n" % (len(request[1]), request[1]) if request[1:] else b"+PONG\r\n")
+            if self.server.drained:
+                reply.send(b"-ERR drained by an operator\r\n")
+            else:
+                reply.send(b"$%d\r\n%s\r\n" % (len(request[1]), request[1]) if request[1:] else b"+PONG\r\n")
         elif name == b"MSG.PUT":
             try:
                 self.server.put(parse_put(request[1:]), reply)
@@ -210,19 +221,27 @@
             self.transport.write(b"".join(out))
         if self.closing and not self.pending:
             self.transport.close()
+        elif out and self.server.emptying:
+            self.finish()
 
     @property
     def between_requests(self) -> bool:
         return not self.pending and not self.reader.unread
 
+    @property
+    def unheard(self) -> bool:
+        """Bytes have come that are not read yet: a close now would cut a request."""
+        size = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(4))
+        return any(size)
+
     def finish_now(self) -> None:
         self.closing = True
         self.transport.close()
         self._review()  # one that does not read would linger
 
     def finish(self) -> None:
-        """Close once nothing is pending."""
-        if self.between_requests:
+        """Close if that cuts nothing."""
+        if self.between_requests and not self.transport.is_closing() and not self.unheard:
             self.transport.close()
 
 
@@ -237,6 +256,26 @@
         self.put, self.max_clients = put, max_clients
         self.clients: dict[Client, None] = {}  # the longest unused first
         self.server: asyncio.Server | None = None
+        self.drained = self.emptying = False  # PING is answered no; connections are closed between requests
+        self.sweeping: asyncio.TimerHandle | None = None
+
+    def drain(self, on: bool) -> None:
+        """Send clients away, cutting nothing, or take them again. Repeats change nothing."""
+        if on is self.drained:
+            return
+        self.drained, self.emptying = on, False
+        if self.sweeping:
+            self.sweeping.cancel()
+        if on:
+            self.sweeping = asyncio.get_running_loop().call_later(EMPTY_S, self._sweep)
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.emptying = True  # from here on each is closed after its answer, too
+        for client in list(self.clients):
+            if loop.time() - client.heard_at >= QUIET_S:
+                client.finish()
+        self.sweeping = loop.call_later(SWEEP_S, self._sweep)
 
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
@@ -265,6 +304,8 @@
         return self.server is not None and self.server.is_serving()
 
     def stop_listening(self) -> None:
+        if self.sweeping:
+            self.sweeping.cancel()
         if self.server is not None:
             self.server.close()
 
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -62,7 +62,9 @@
         self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)))
         self.notices = Notices(loop, config.discovery, self._accepted)
         self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
-        self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck)), config.sockets)
+        self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck),
+                                ("POST", "/healthcheck/fail", lambda: self._drain(True)),
+                                ("POST", "/healthcheck/ok", lambda: self._drain(False))), config.sockets)
 
     async def start(self) -> int:
         """Restore, take the first turn, then listen: a PING is answered from here on. Returns the port."""
@@ -70,6 +72,7 @@
         for m in list(self.journal.held.values()):
             self._restore(m)
         self.turn()
+        self.clients.drain(self.journal.drained)
         self.watch.open()
         port = await self.clients.listen(*self.config.listen)
         if self.config.operator:
@@ -398,8 +401,21 @@
     # Operators
 
     def _healthcheck(self) -> tuple[int, dict[str, Any]]:
-        taking = self.clients.listening and not self.closing_at
-        return 200 if taking else 503, {"taking_clients": taking}
+        taking = self.clients.listening and not self.closing_at and not self.clients.drained
+        return 200 if taking else 503, self._state(taking)
+
+    def _state(self, taking: bool) -> dict[str, Any]:
+        """What staff on call want to know first."""
+        return {"taking_clients": taking, "drained": self.clients.drained,
+                "clients": len(self.clients.clients),
+                "messages": sum(not m.status for m in self.journal.held.values())}
+
+    def _drain(self, on: bool) -> tuple[int, dict[str, Any]]:
+        """Recorded before it is done: a drained courier that is started again still is."""
+        if on is not self.journal.drained:
+            self.journal.drain(on)
+        self.clients.drain(on)
+        return 200, {"drained": on}
 
     # The end
 
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -99,6 +99,7 @@
         self.ids: dict[str, int] = {}
         self.over: dict[str, float] = {}  # id: when it was over
         self.keys: dict[str, float] = {}  # key: when the first attempt with it that may have run was sent
+        self.drained = False  # by an operator, until called back
         self.live = self.last = 0
         self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -150,6 +151,10 @@
         """Notices were accepted."""
         self._write(["over", numbers, time.time()])
 
+    def drain(self, on: bool) -> None:
+        """An operator sends the clients away, or calls them back."""
+        self._write(["drain", on])
+
     def _write(self, record: list[Any]) -> None:
         data = frame(record)
         if self.size + len(data) > max(SMALL, 4 * self.live) or not self._fits(len(data)):
@@ -204,6 +209,8 @@
                     self.ids.pop(m.id, None)
                     self.live -= m.bytes
                     self._remember_over(m.id, record[2])
+        elif kind == "drain":
+            self.drained = bool(record[1])
         elif kind == "known":
             self.last = max(self.last, record[1])
             for ident, at in record[2].items():
@@ -236,7 +243,7 @@
         self.over = {i: at for i, at in self.over.items() if now - at < OVER_S}
         self.keys = {k: at for k, at in self.keys.items() if now - at < self.key_s}
         self.live = sum(m.bytes for m in self.held.values()) + EACH * (len(self.over) + len(self.keys))
-        parts = [frame(["known", self.last, self.over, self.keys])]
+        parts = [frame(["known", self.last, self.over, self.keys]), frame(["drain", self.drained])]
         for m in self.held.values():
             parts.append(frame(m.record()))
         data = b"".join(parts)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -6,6 +6,8 @@
 import pytest
 from loopback import Client, bounded, courier
 
+from hopmill.net.state import Journal
+
 CALL = b"%s %s HTTP/1.1\r\nHost: door\r\n%s\r\n"
 
 
@@ -28,7 +30,8 @@
 @courier
 async def test_the_door_says_whether_clients_are_taken(fleet):
     await fleet.inside()
-    assert await call(fleet.door, "GET", "/healthcheck") == (200, {"taking_clients": True})
+    status, said = await call(fleet.door, "GET", "/healthcheck")
+    assert status == 200 and said["taking_clients"] and not said["drained"]
     fleet.host.terminate()
     assert (await call(fleet.door, "GET", "/healthcheck"))[0] == 503
 
@@ -77,3 +80,59 @@
     await fleet.inside()
     assert fleet.host.door.server is None
     assert await (await Client().open(fleet.port)).send(Client.command(b"PING")) == "+PONG"
+
+
+PING = Client.command(b"PING")
+
+
+@courier
+async def test_a_drained_courier_sends_its_clients_away_and_cuts_nothing(fleet):
+    e = await fleet.endpoint("a")
+    client = await fleet.inside()
+    quiet, busy, half = client, await Client().open(fleet.port), await Client().open(fleet.port)
+    assert await quiet.send(PING) == "+PONG"
+    message = client.message("half")
+    half.writer.write(message[:40])
+    started = asyncio.get_running_loop().time()
+    for _ in range(2):  # calls repeat safely
+        assert (await call(fleet.door, "POST", "/healthcheck/fail"))[0] == 200
+    assert (await call(fleet.door, "GET", "/healthcheck"))[0] == 503
+    assert (await (await Client().open(fleet.port)).send(PING)).startswith("-ERR")
+    assert await busy.put("m0") == "+OK"  # open connections go on for a moment
+    assert await bounded(quiet.reader.read()) == b""
+    late = await Client().open(fleet.port)
+    assert await late.put("late") == "+OK"  # a new one is served, then closed
+    assert await bounded(late.reader.read()) == b""
+    half.writer.write(message[40:])
+    assert await half.line() == "+OK"  # a request is let finish
+    assert await bounded(half.reader.read()) == b"" and await bounded(busy.reader.read()) == b""
+    assert asyncio.get_running_loop().time() - started < 3
+    assert {(await e.call())[1]["x-request-id"] for _ in range(3)} == {"m0", "late", "half"}
+    for _ in range(2):
+        assert (await call(fleet.door, "POST", "/healthcheck/ok"))[0] == 200
+    again = await Client().open(fleet.port)
+    assert await again.send(PING) == "+PONG" and await again.put("m1") == "+OK"
+    assert (await call(fleet.door, "GET", "/healthcheck"))[0] == 200
+
+
+@courier
+async def test_a_drain_lasts_over_a_restart_and_a_rewritten_journal(fleet):
+    await fleet.outside()
+    assert (await call(fleet.door, "POST", "/healthcheck/fail"))[0] == 200
+    await fleet.kill()
+    journal = Journal(fleet.folder / "state", 3_000_000)
+    journal.compact()
+    journal.close()
+    client = await fleet.outside()
+    assert (await client.send(PING)).startswith("-ERR")
+    assert (await call(fleet.door, "GET", "/healthcheck"))[0] == 503
+    assert (await call(fleet.door, "POST", "/healthcheck/ok"))[0] == 200
+    assert await (await Client().open(fleet.port)).send(PING) == "+PONG"
+
+
+@courier
+async def test_what_can_not_be_recorded_gets_a_no_and_is_not_done(fleet):
+    client = await fleet.inside()
+    fleet.host.journal.limit = 0
+    assert (await call(fleet.door, "POST", "/healthcheck/fail"))[0] == 503
+    assert await client.send(PING) == "+PONG"
