--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -14,7 +14,7 @@
 from hopmill.interface import (
     Action, AttemptAnswering, AttemptEnded, CallCarried, Carried, CloseIdle, Closing, Effect, EndpointsListed,
     EndpointState, Event, Fail, ListEntry, ListForm, Log, MessageArrived, MessageClass, MessageGone, Refuse,
-    Result, Send, SetTimer, Settings, Subscribe)
+    Result, Send, SetByHand, SetTimer, Settings, Subscribe)
 
 # The design's own figures.
 BASE_US = 100_000  # first ceiling of the jittered wait (the note's default)
@@ -145,6 +145,7 @@
         self.messages: dict[int, Message] = {}
         self.calls: dict[tuple[int, int], tuple[Call, Message]] = {}
         self.out = self.seq = 0
+        self.by_hand: set[int] = set()  # endpoints that an operator leaves out
         self.expiries: list[tuple[int, int]] = []
         self.timers: list[int] = []
         self.keys: dict[int, list[Message]] = {}
@@ -185,6 +186,8 @@
                 self._close(m)
             elif isinstance(e, Closing):
                 self.closing = e.until_us
+            elif isinstance(e, SetByHand):
+                self._set_by_hand(e)
             elif isinstance(e, Carried) and (ep := self.endpoints.get(e.endpoint)):
                 self._learn(ep, e)
             elif isinstance(e, CallCarried):
@@ -200,6 +203,23 @@
             self._wake(self.expiries[0][0])
         return self.actions
 
+    # Operators
+
+    def _set_by_hand(self, e: SetByHand) -> None:
+        """Kept apart from the list's state, so that no news of the list lifts it."""
+        if e.out:
+            self.by_hand.add(e.endpoint)
+            self.actions.append(CloseIdle(e.endpoint))
+        elif e.endpoint in self.by_hand:
+            self.by_hand.remove(e.endpoint)
+            if ep := self.endpoints.get(e.endpoint):  # it was restarted meanwhile, and is cold
+                self._base(ep)
+                ep.idle.clear()
+                ep.bad = ep.dirty = ep.c.bad = 0.0
+                ep.c.open, ep.c.trial, ep.c.gap, ep.c.tokens = False, None, 0, 1.0
+                ep.c.ramp_from = ep.c.stamp = self.now
+                self.actions.append(Log(f"endpoint {ep.id} may serve again: slow start"))
+
     # Upgrades
 
     def _carriers(self, ep: Endpoint) -> dict[str, object]:
@@ -596,7 +616,7 @@
         """The gate, lane side: drain, wait, slots, windows, pace, circuit, recovery budget."""
         lane, now = ep.lane, self.now
         busy = self.out >= self.s.slots or lane.dest.out >= self.cap or lane.out >= int(lane.window)
-        if busy or ep.state is not EndpointState.READY:
+        if busy or ep.state is not EndpointState.READY or ep.id in self.by_hand:
             return False
         if now < lane.wait_until:
             self._wake(lane.wait_until)
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -256,6 +256,14 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class SetByHand:
+    """An operator leaves an endpoint out, whatever the list says, or lets it serve again: it returns cold."""
+
+    endpoint: int
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Carried:
     """After an upgrade: what the process before had learned of an endpoint, named as Courier.carry() does.
@@ -276,7 +284,7 @@
 
 
 Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | ProbeEnded | MessageGone
-         | TimerDue | Closing | PeerNote | Carried | CallCarried)
+         | TimerDue | Closing | PeerNote | SetByHand | Carried | CallCarried)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -82,7 +82,10 @@
         self.moved_to: Address | None = None  # where discovery went with a changed configuration
         self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck),
                                 ("POST", "/healthcheck/fail", lambda: self._drain(True)),
-                                ("POST", "/healthcheck/ok", lambda: self._drain(False))), config.sockets)
+                                ("POST", "/healthcheck/ok", lambda: self._drain(False)),
+                                ("POST", "/endpoints/*/maint", lambda uid: self._set_by_hand(uid, True)),
+                                ("POST", "/endpoints/*/ready", lambda uid: self._set_by_hand(uid, False))),
+                         config.sockets)
 
     def start(self) -> int:
         """Restore, take the first turn, then listen: a PING is answered from here on. Returns the port."""
@@ -90,6 +93,7 @@
         self.uids.update(carried.get("uids", {}))
         known = carried.get("known", self.config.known)
         self.listed({"all": True, "targets": known["targets"]}, i.ListForm.CACHED)
+        self.events += [i.SetByHand(self._number(uid), True) for uid in sorted(self.journal.out_by_hand)]
         self.watch.rev = known["rev"]
         if carried:
             self._resume(carried)
@@ -449,6 +453,7 @@
         """News that came while a connection was being made holds for the call that waits for it."""
         entry = self.entries.get(endpoint)
         ready = entry is not None and entry.state is i.EndpointState.READY
+        ready = ready and endpoint not in self.courier.by_hand
         return ready and self.waits.get(self._wait_key(endpoint), 0) <= self.clock()
 
     def _begin(self, items: list[Item]) -> bool:
@@ -509,7 +514,7 @@
         self.calls.forget(endpoint)
 
     def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, tuple[str, int]]:
-        number = self.uids.setdefault(str(target["uid"]), len(self.uids) + 1)
+        number = self._number(str(target["uid"]))
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
         rate = float(target.get("capacity_hint") or 0.0)
         if not math.isfinite(rate):  # the decision module would pace by it
@@ -519,6 +524,9 @@
         ipaddress.ip_address(address[0])  # a name would be looked up, and block the loop
         return entry, address
 
+    def _number(self, uid: str) -> int:
+        return self.uids.setdefault(uid, len(self.uids) + 1)
+
     def move_discovery(self, address: Address) -> None:
         """A changed configuration: the list comes from there and notices go there from now on."""
         self.moved_to = address
@@ -534,7 +542,7 @@
     def _state(self, taking: bool) -> dict[str, Any]:
         """What staff on call want to know first."""
         return {"taking_clients": taking, "drained": self.clients.drained,
-                "clients": len(self.clients.clients),
+                "out_by_hand": sorted(self.journal.out_by_hand), "clients": len(self.clients.clients),
                 "messages": sum(not m.status for m in self.journal.held.values())}
 
     def _drain(self, on: bool) -> tuple[int, dict[str, Any]]:
@@ -544,6 +552,16 @@
         self.clients.drain(on)
         return 200, {"drained": on}
 
+    def _set_by_hand(self, uid: str, out: bool) -> tuple[int, dict[str, Any]]:
+        """Recorded, then done, then answered: nothing new starts there after the yes."""
+        if uid not in self.uids:
+            return 404, {"error": "no such endpoint was ever listed"}
+        if out is not (uid in self.journal.out_by_hand):
+            self.journal.set_by_hand(uid, out)
+            self.events.append(i.SetByHand(self.uids[uid], out))
+            self.turn()
+        return 200, {"endpoint": uid, "out_by_hand": out}
+
     # The end
 
     def terminate(self) -> None:
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -100,6 +100,7 @@
         self.over: dict[str, float] = {}  # id: when it was over
         self.keys: dict[str, float] = {}  # key: when the first attempt with it that may have run was sent
         self.drained = False  # by an operator, until called back
+        self.out_by_hand: set[str] = set()  # endpoints' uids, the same
         self.live = self.last = 0
         self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -155,6 +156,10 @@
         """An operator sends the clients away, or calls them back."""
         self._write(["drain", on])
 
+    def set_by_hand(self, uid: str, out: bool) -> None:
+        """An operator leaves an endpoint out, or lets it serve again."""
+        self._write(["hand", uid, out])
+
     def _write(self, record: list[Any]) -> None:
         data = frame(record)
         if self.size + len(data) > max(SMALL, 4 * self.live) or not self._fits(len(data)):
@@ -211,6 +216,10 @@
                     self._remember_over(m.id, record[2])
         elif kind == "drain":
             self.drained = bool(record[1])
+        elif kind == "hand":
+            uid, out = str(record[1]), bool(record[2])
+            self.live += (len(uid) + EACH) * (out - (uid in self.out_by_hand))
+            (self.out_by_hand.add if out else self.out_by_hand.discard)(uid)
         elif kind == "known":
             self.last = max(self.last, record[1])
             for ident, at in record[2].items():
@@ -243,7 +252,9 @@
         self.over = {i: at for i, at in self.over.items() if now - at < OVER_S}
         self.keys = {k: at for k, at in self.keys.items() if now - at < self.key_s}
         self.live = sum(m.bytes for m in self.held.values()) + EACH * (len(self.over) + len(self.keys))
-        parts = [frame(["known", self.last, self.over, self.keys]), frame(["drain", self.drained])]
+        self.live += sum(len(uid) + EACH for uid in self.out_by_hand)
+        parts = [frame(["known", self.last, self.over, self.keys]), frame(["drain", self.drained]),
+                 *(frame(["hand", uid, True]) for uid in self.out_by_hand)]
         for m in self.held.values():
             parts.append(frame(m.record()))
         data = b"".join(parts)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -5,6 +5,9 @@
 from hopmill.brain import Courier
 from hopmill.interface import (
     AttemptEnded,
+    CallCarried,
+    Carried,
+    CloseIdle,
     Effect,
     EndpointsListed,
     EndpointState,
@@ -17,6 +20,7 @@
     Refuse,
     Result,
     Send,
+    SetByHand,
     Settings,
 )
 
@@ -290,3 +294,54 @@
     early = of(Send, h.arrive(cls=2) + h.idle(1))
     late = of(Send, h.idle(6))
     assert not [a for a in early if a.message == h.next] and [a for a in late if a.message == h.next]
+
+
+def test_an_endpoint_out_by_hand_gets_nothing_until_called_back_and_returns_cold():
+    h = Host(rate=200.0, cold_us=10 * S, cold_share=0.1)
+    for _ in range(40):  # warm
+        m = of(Send, h.arrive(after=50_000))[0].message
+        h.end(m, Result.OK, after=50_000)
+    assert of(CloseIdle, h.do(SetByHand(100, True)))
+    assert not of(Send, h.arrive())
+    h.do(EndpointsListed(ListForm.FULL, (ListEntry(100, 1, EndpointState.READY, 200.0),)))
+    assert not of(Send, h.idle(1.0))
+    assert len(of(Send, h.do(SetByHand(100, False)))) == 1
+    sent = 0
+    h.end(h.next, Result.OK)
+    for _ in range(200):  # a second of 200 a second: about its cold share is sent
+        sends = of(Send, h.arrive(after=5_000))
+        sent += len(sends)
+        for send in sends:
+            h.end(send.message, Result.OK, latency=1_000, after=0)
+    assert 10 <= sent <= 60
+
+
+def test_an_upgrade_hands_on_waits_circuits_and_calls():
+    old = Host(endpoints=2, rate=100.0)
+    for _ in range(4):  # its window opens
+        m = of(Send, old.arrive(after=50_000))[0]
+        old.end(m.message, Result.OK, after=50_000, endpoint=m.endpoint)
+    first = of(Send, old.arrive(cls=2))[0]
+    other = of(Send, old.arrive())
+    old.end(other[0].message, Result.FULL, told=5 * S, endpoint=other[0].endpoint)
+    new = Courier(old.courier.s, 9)
+    listed = EndpointsListed(ListForm.CACHED, tuple(
+        ListEntry(100 + n, 1, EndpointState.READY, 100.0) for n in range(2)))
+    carried = [Carried(e, {**figures, "lane.unknown": 1.0}) for e, figures in old.courier.carry()]
+    begun = MessageArrived(first.message, 2, 1, old.now + 9 * S, tries=1, out=True)
+    held = MessageArrived(77, 0, 1, old.now + 9 * S)
+    acts = new.handle(old.now, [listed, *carried, begun, held,
+                                CallCarried(first.endpoint, old.now - S, (first.message,))])
+    assert not of(Send, acts) and not of(Fail, acts)  # the wait is kept, the unsafe one is not given up
+    assert new.out == 1
+    assert of(Send, new.handle(old.now + 6 * S, []))  # the held one, once the wait is over
+    acts = new.handle(old.now + 6 * S, [AttemptEnded(first.message, 0, first.endpoint, Result.ERROR, 9 * S)])
+    assert [a.message for a in of(Fail, acts)] == [first.message] and new.out == 1
+
+
+def test_a_carried_call_to_an_endpoint_that_has_gone_keeps_its_slot():
+    new = Courier(Settings(classes=CLASSES, slots=8, max_held=100), 9)
+    new.handle(0, [MessageArrived(1, 0, 1, 9 * S, tries=1, out=True), CallCarried(5, 0, (1, 2))])
+    assert new.out == 1
+    new.handle(S, [AttemptEnded(1, 0, 5, Result.OK, S, True)])
+    assert new.out == 0 and not new.messages
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -136,3 +136,78 @@
     fleet.host.journal.limit = 0
     assert (await call(fleet.door, "POST", "/healthcheck/fail"))[0] == 503
     assert await client.send(PING) == "+PONG"
+
+
+async def out(fleet, uid, word="maint"):
+    return (await call(fleet.door, "POST", f"/endpoints/{uid}/{word}"))[0]
+
+
+@courier
+async def test_an_endpoint_out_by_hand_gets_nothing_whatever_the_list_says(fleet):
+    a, b = await fleet.endpoint("a"), await fleet.endpoint("b")
+    client = await fleet.inside()
+    for n in range(6):
+        await client.put(f"m{n}")
+    while a.calls.qsize() + b.calls.qsize() < 6:
+        await asyncio.sleep(0.01)
+    for _ in range(3):
+        assert await out(fleet, "a") == 200
+    assert await out(fleet, "nobody") == 404 and await out(fleet, "nobody", "ready") == 404
+    assert (await call(fleet.door, "GET", "/endpoints/a/maint"))[0] == 405
+    assert (await call(fleet.door, "GET", "/healthcheck"))[1]["out_by_hand"] == ["a"]
+    assert not fleet.host.calls.pools[fleet.host.uids["a"]].idle
+    before = a.calls.qsize()
+    for state in ("terminated", "in_service"):  # it goes and is listed again
+        fleet.discovery.change("a", state=state)
+    while fleet.host.watch.rev != fleet.discovery.rev:
+        await asyncio.sleep(0.01)
+    for n in range(8):
+        await client.put(f"n{n}")
+    while a.calls.qsize() + b.calls.qsize() < 14:
+        await asyncio.sleep(0.01)
+    assert a.calls.qsize() == before
+    assert await out(fleet, "b") == 200
+    assert await client.put("last") == "+OK"
+    assert await out(fleet, "a", "ready") == 200  # one call back lifts it, however many there were
+    while a.calls.qsize() == before:
+        await asyncio.sleep(0.01)
+    assert await out(fleet, "a", "ready") == 200  # and repeats
+
+
+@courier
+async def test_a_call_whose_connection_is_being_made_does_not_start_after_the_yes(fleet):
+    e = await fleet.endpoint("a")
+    client = await fleet.inside()
+    begun = []
+    fleet.host.calls.hooks.begin = lambda items: begun.append(items) or True
+    waiting = []
+    fleet.host.calls._connected = lambda *args: waiting.append(args)
+    await client.put("m")
+    while not waiting:
+        await asyncio.sleep(0)
+    assert await out(fleet, "a") == 200
+    del fleet.host.calls._connected
+    fleet.host.calls._connected(*waiting[0])
+    assert not begun and e.calls.empty()
+
+
+@courier
+async def test_what_is_out_by_hand_stays_out_over_a_restart_and_a_rewritten_journal(fleet):
+    a = await fleet.endpoint("a")
+    await fleet.endpoint("b", dest=8)
+    await fleet.outside()
+    assert await out(fleet, "a") == 200
+    assert await out(fleet, "b") == 200 and await out(fleet, "b", "ready") == 200
+    await fleet.kill()
+    journal = Journal(fleet.folder / "state", 3_000_000)
+    journal.compact()
+    assert journal.out_by_hand == {"a"}
+    journal.close()
+    client = await fleet.outside()
+    assert await client.put("m") == "+OK"
+    fleet.discovery.change("a", state="in_service")
+    assert await client.put("other", dest=8) == "+OK"
+    await fleet.endpoints["b"].call()
+    assert a.calls.empty()
+    assert await out(fleet, "a", "ready") == 200
+    assert (await a.call())[1]["x-request-id"] == "m"
