Give up likely lost unsafe calls sooner while slots are short and calls are being lost

Safe calls are given up after their lane's likely-lost time (0.4 to 1 s), payout-order calls were waited for 4 s: gauges show all 25 slots taken with up to 425 messages waiting. Ruled out: reused connections (73 of 132 lost calls were on new ones, idle times from 0 to 2 s), paces, told waits, client connections (2 of them), memory.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -51,6 +51,7 @@
 TAIL_X, ALIVE = 1.35, 0.1
 LOST_X = 4.0  # at 1/LOST_X lost, time-outs are no evidence
 LOSS, LOSS_MEMORY = 0.002, 1 / 32  # least share of calls taken as lost, weight of the newest call
+LOSSY = 0.01  # over this share, calls are being lost, and not only slow
 LASTS = 2.0  # what is put off for want of slots waits this many times the queue: new messages come first
 TRIAL_X = 0.6  # a half-open trial gets this share of the time-out
 TICKS = 3  # ticks kept free before a deadline
@@ -766,8 +767,9 @@
         left = int(min(m.until, self.closing)) - now - self.margin
         timeout, lane = left, ep.lane
         guess = self._timeout(lane) if lane.mean else max(self.s.connect_timeout_us, m.cls.aim_us)
-        if m.cls.effect is Effect.UNSAFE:  # one long try: but a lost call must not hold a slot till its end
-            timeout = min(left, max(guess, m.cls.aim_us))
+        if m.cls.effect is Effect.UNSAFE:  # one long try; but where slots are short, lost calls take others'
+            short = self.out >= self.cap and self.loss >= LOSSY
+            timeout = min(left, guess if short else max(guess, m.cls.aim_us))
         elif guess + lane.mean * 2 < left:
             timeout = guess
         if ep.c.open and m.cls.effect is not Effect.UNSAFE:  # a trial of what may hang: hold the slot briefly
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -345,3 +345,28 @@
     assert new.out == 1
     new.handle(S, [AttemptEnded(1, 0, 5, Result.OK, S, True)])
     assert new.out == 0 and not new.messages
+
+
+def test_where_calls_are_lost_and_slots_are_short_an_unsafe_call_is_not_waited_for_in_vain():
+    # Lost calls of four seconds had held most slots, with hundreds of messages waiting for one.
+    def patience(h):
+        return of(Send, h.arrive(cls=2))[-1].timeout_us
+    h = Host(endpoints=1, slots=4)
+
+    def served(times):
+        for _ in range(times):
+            send = of(Send, h.arrive(after=20_000))[0]
+            h.end(send.message, Result.OK, after=100_000)
+    served(60)
+    h.do(EndpointsListed(ListForm.DELTA, (ListEntry(200, 2, EndpointState.READY),)))
+    assert patience(h) == CLASSES[2].aim_us  # few slots taken: one long try
+    h.end(h.next, Result.OK, after=100_000)
+    lost = of(Send, h.arrive(cls=2, after=20_000))[0]
+    served(1)  # it answers others
+    h.end(lost.message, Result.TIMEOUT, latency=600_000, after=500_000)
+    served(3)
+    assert patience(h) == CLASSES[2].aim_us
+    h.arrive()
+    h.arrive(dest=2)
+    assert h.courier.out == 3
+    assert patience(h) < CLASSES[2].aim_us * 0.8
