Make room for clients by who is quiet, and give each request its own time

The tests fail without the change: a crowd half way through its requests closed each newcomer, and a request begun late on a kept connection was cut by the time of the one before.

Places for clients follow the memory too; that binds only under 16 MB for each 33 places.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -19,10 +19,10 @@
 from hopmill.net.upgrade import Cargo
 
 WORD = re.compile(rb"[\x21-\x7e]{1,256}")
-# A peer gets so long, in seconds, for its first proper request from when it connected, for each later one
-# from the one before, and for reading its answers. TERMS owes an error line or a close in 3 s, and lets idle
-# connections be closed after 2 s: clients may only have so many, and those kept idle are missing for others.
-REQUEST_S = 2.05
+# A peer may be quiet for so long, in seconds: with no request, half way through one, or with answers to read.
+# TERMS owes an error line or a close in 3 s, and lets idle connections be closed after 2 s: clients may only
+# have so many, and those kept idle are missing for others. A request that comes slowly may take MOST_S.
+REQUEST_S, MOST_S = 2.05, 2.8
 BACKLOG = 512  # connections that wait to be accepted
 # A drain, in seconds: the front asks ten times a second, and new clients come until 0.2 s after a no. From
 # EMPTY_S on connections are closed between requests, those of quiet clients once quiet for QUIET_S.
@@ -109,23 +109,24 @@
 class Client(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, server: ClientServer, carried: tuple[list[Any], float, float] | None = None) -> None:
+    def __init__(self, server: ClientServer, carried: tuple[Any, ...] = ()) -> None:
         self.server, self.carried = server, carried
         self.reader = RequestReader()
         self.pending: deque[Reply] = deque()
         self.gone = self.closing = self.paused = False
         self.heard_at = 0.0  # when it last sent anything, or connected
+        self.proper_at = 0.0  # when its newest proper request was whole, or it connected
+        self.begun_at = 0.0  # when what came after that began; the first with the connection
+        self.fresh = False  # nothing has come since that request
         self.transport: asyncio.Transport
         self.timer: asyncio.TimerHandle | None = None  # for the next request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        loop = asyncio.get_running_loop()
-        self.heard_at = loop.time()
+        self.heard_at = self.proper_at = self.begun_at = asyncio.get_running_loop().time()
         if self.carried:
-            reader, self.heard_at, due = self.carried
+            reader, self.heard_at, self.proper_at, self.begun_at, self.fresh = self.carried
             self.reader.resume(reader)
-            self.timer = loop.call_at(due, self._overdue) if due else None
         self._review()
         self.server.joined(self)
 
@@ -135,9 +136,17 @@
         self.server.left(self)
 
     def _review(self) -> None:
-        """The time for the next proper request, or for reading the answers, begins unless it runs already."""
+        """The time for the next proper request, or for reading the answers, runs unless it does already."""
         if self.timer is None and not self.gone:
-            self.timer = asyncio.get_running_loop().call_later(REQUEST_S, self._overdue)
+            loop = asyncio.get_running_loop()
+            late = self.closing or self.paused  # for its answers, from now on
+            self.timer = loop.call_at(loop.time() + REQUEST_S if late else self._due(), self._overdue)
+
+    def _due(self) -> float:
+        """It only moves on, so a timer set for an earlier one asks again."""
+        if self.reader.unread:
+            return min(self.heard_at + REQUEST_S, self.begun_at + MOST_S)
+        return self.proper_at + REQUEST_S
 
     def _stop_timer(self) -> None:
         if self.timer is not None:
@@ -149,7 +158,13 @@
         self.timer = None
         if self.closing or self.transport.get_write_buffer_size():  # it does not read either
             self.transport.abort()
-            return
+        elif self._due() > asyncio.get_running_loop().time():
+            self._review()
+        else:
+            self.turn_away()
+
+    def turn_away(self) -> None:
+        """An error line for what will not be whole, if anything; then the end."""
         self.closing = True
         if self.reader.unread:
             self._reply().send(b"-ERR no whole request in time\r\n")
@@ -178,17 +193,23 @@
         self.heard_at = asyncio.get_running_loop().time()
         self.reader.feed(data)
         try:
+            self._begin()
             while (request := self.reader.next()) is not None:
                 self._handle(request)
+            self._begin()
         except ProtocolError as error:  # where the next request begins can't be known any more
             self.closing = True
             self._reply().send(b"-ERR Protocol error: %s\r\n" % _line(str(error)))
         self._review()
 
+    def _begin(self) -> None:
+        """The time of a request runs from its first byte; improper ones before it give it none anew."""
+        if self.fresh and self.reader.unread:
+            self.fresh, self.begun_at = False, self.heard_at
+
     def _proper(self) -> None:
         """A proper request is whole: the time for the next one counts anew."""
-        if not self.paused:
-            self._stop_timer()
+        self.proper_at, self.fresh = self.heard_at, True
 
     def _reply(self) -> Reply:
         self.pending.append(Reply(self))
@@ -249,11 +270,6 @@
         ending = self.gone or self.closing or self.paused or self.transport.is_closing()
         return not ending and not self.pending and not self.transport.get_write_buffer_size()
 
-    def finish_now(self) -> None:
-        self.closing = True
-        self.transport.close()
-        self._review()  # one that does not read would linger
-
     def finish(self) -> None:
         """Close if that cuts nothing."""
         if self.between_requests and not self.transport.is_closing() and not self.unheard:
@@ -299,10 +315,16 @@
 
     def joined(self, client: Client) -> None:
         self.clients[client] = None
-        if len(self.clients) > self.max_clients:  # open files must stay under the limit
-            spare = next((c for c in self.clients if c.between_requests), client)
-            self.left(spare)  # or the next to join in this turn of the loop would close the same again
-            spare.finish_now()
+        if len(self.clients) > self.max_clients:  # open files and memory must stay under their limits
+            self._make_room(client)
+
+    def _make_room(self, newcomer: Client) -> None:
+        others = [c for c in self.clients if c is not newcomer and not c.pending]  # the longest quiet first
+        spare = next((c for c in others if c.between_requests and not c.unheard), None)
+        # All others are half way, or answered in a moment: the one that has been quiet longest is stalled.
+        spare = spare or next((c for c in others if c.reader.unread), newcomer)
+        self.left(spare)  # or the next to join in this turn of the loop would close the same again
+        spare.turn_away()
 
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
@@ -323,13 +345,13 @@
 
     def carry(self, cargo: Cargo, most: int) -> list[list[Any]]:
         """The connections, most recently used last; nothing is pending on them between two turns."""
-        return [[cargo.place(c.fileno), c.reader.carry(), c.heard_at, c.timer.when() if c.timer else 0.0]
+        return [[cargo.place(c.fileno), c.reader.carry(), c.heard_at, c.proper_at, c.begun_at, c.fresh]
                 for c in list(self.clients)[-most:] if c.steady]
 
-    def resume(self, sock: socket.socket, reader: list[Any], heard_at: float, due: float) -> None:
+    def resume(self, sock: socket.socket, *carried: Any) -> None:
         """Go on with a connection of the process before this one."""
         assert self.acceptor is not None
-        self.acceptor.join(sock, lambda: Client(self, (reader, heard_at, due)))
+        self.acceptor.join(sock, lambda: Client(self, carried))
 
     def close_idle(self) -> None:
         """Close those between requests: one with a request unanswered would lose it."""
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -31,6 +31,7 @@
     seed: int
     sockets: int
     disk_bytes: int
+    memory_bytes: int
     known: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
@@ -62,6 +63,7 @@
         state=state, seed=_seed(raw.get("seed", 0)),
         sockets=int(_number(limits, "sockets", 1024)),
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
+        memory_bytes=int(_number(limits, "memory_mb", 192) * 1_000_000),
         known=_known(_mapping(raw, "known")), settings=_settings(given),
         zones=tuple(str(z) for z in given.get("localities") or ()),
         operator=parse_address(door, "LB_OPERATOR") if door else None,
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -20,6 +20,7 @@
 from hopmill.net.config import Address, Config, ConfigError, parse_address
 from hopmill.net.discovery import Notices, Watch
 from hopmill.net.operator import Door, Routes
+from hopmill.net.resp import MAX_REQUEST
 from hopmill.net.state import Held, Journal
 from hopmill.net.upgrade import Cargo, Link, NotHandedOver, Owner, hand_over
 
@@ -30,6 +31,7 @@
 # Shares of the limit on open files; the rest is for calls, discovery, the journal and Python itself. Clients
 # may hold a third: over that they can't ask at all, so idle connections are closed before there are so many.
 CLIENT_SHARE, IDLE_SHARE = 0.3, 0.2
+MEMORY_SHARE = 1 / 8  # of the memory is for requests that are half way: each may be as long as the longest
 # A planned restart, in seconds from SIGTERM: new clients come until LISTEN_S, calls may last until CALLS_S.
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
 FORMAT = 1  # of what an upgrade hands over; one that is not known counts as nothing
@@ -76,7 +78,8 @@
         hooks = Hooks(self._may_write, self._begin, self._ended, self._told_wait, self._probed)
         self.calls = Calls(loop, hooks, self.s.connection_idle_us, self.s.connect_timeout_us,
                            int(config.sockets * IDLE_SHARE))
-        self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)))
+        places = min(config.sockets * CLIENT_SHARE, config.memory_bytes * MEMORY_SHARE / MAX_REQUEST)
+        self.clients = ClientServer(self.put, max(8, int(places)))
         self.notices = Notices(loop, config.discovery, self._accepted)
         self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
         self.moved_to: Address | None = None  # where discovery went with a changed configuration
@@ -203,8 +206,8 @@
             self.calls.resume(endpoint, tuple(address), sock(place), started, items, received)
         for endpoint, address, place, since in carried["idle"]:
             self.calls.resume_idle(endpoint, tuple(address), sock(place), since)
-        for place, reader, heard_at, due in carried["clients"]:
-            self.clients.resume(sock(place), reader, heard_at, due)
+        for place, *rest in carried["clients"]:
+            self.clients.resume(sock(place), *rest)
         door = carried["door"]
         if door["listening"] is not None:
             self.door.resume(sock(door["listening"]), [(sock(p), heard) for p, heard in door["callers"]])
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -330,12 +330,17 @@
     async def run():
         async with Fleet(tmp_path) as fleet:
             client = await fleet.inside()
-            timers = []
+            (peer,), dues = fleet.host.clients.clients, []
             for _ in range(3):
                 assert await client.send(client.command(b"PING")) == "+PONG"
-                timers.append(next(iter(fleet.host.clients.clients)).timer)
-            assert [t.cancelled() for t in timers] == [True, True, False]
-            next(iter(fleet.host.clients.clients))._overdue()
+                dues.append(peer._due())
+            assert dues == sorted(set(dues))
+            peer.timer.cancel()
+            peer._overdue()  # set before the newest request: it asks again
+            assert not peer.closing
+            peer.proper_at -= 3600.0
+            peer.timer.cancel()
+            peer._overdue()
             assert await bounded(client.reader.read()) == b""
     asyncio.run(run())
 
@@ -431,3 +436,67 @@
             assert (await fleet.discovery.final())["status"] == "deferred"  # it never ran
             assert e.calls.empty()
     asyncio.run(run())
+
+
+@courier
+async def test_a_crowd_that_stops_half_way_keeps_no_client_out(fleet):
+    fleet.limits["sockets"] = 60
+    await fleet.endpoint("a")
+    first = await fleet.inside()
+    crowd = []
+    for n in range(40):
+        crowd.append(await Client().open(fleet.port))
+        crowd[-1].writer.write(b"*5\r\n$7\r\nMSG")
+        while not list(fleet.host.clients.clients)[-1].reader.unread:
+            await asyncio.sleep(0)
+        if n % 5 == 4:  # an honest one that writes slowly is not the longest quiet
+            honest = await Client().open(fleet.port)
+            assert await honest.put(f"m{n}") == "+OK"
+            honest.writer.close()
+    assert len(fleet.host.clients.clients) <= 60 * 0.3
+    assert (await crowd[0].line()).startswith("-ERR no whole request")
+    first.writer.close()
+
+
+@courier
+async def test_a_request_has_its_own_time_and_one_that_goes_on_coming_is_let_finish(fleet):
+    # Its time ran from the request before it: one begun late was cut off half way.
+    loop = asyncio.get_running_loop()
+    await fleet.endpoint("a")
+    client = await fleet.inside()
+    assert await client.send(client.command(b"PING")) == "+PONG"
+    (peer,) = fleet.host.clients.clients
+
+    def late(by):
+        peer.timer.cancel()
+        peer.timer = None
+        for name in ("heard_at", "proper_at", "begun_at"):
+            setattr(peer, name, getattr(peer, name) - by)
+        peer._overdue()
+    message = client.message("m")
+    late(2.0)
+    for byte in message[:30]:
+        client.writer.write(bytes([byte]))
+    while not peer.reader.unread:
+        await asyncio.sleep(0)
+    late(1.5)
+    client.writer.write(message[30:40])
+    while loop.time() - peer.heard_at > 1.0:
+        await asyncio.sleep(0)
+    late(1.0)  # 4.5 s after the request before it, 2.5 s after its own first byte
+    assert await client.send(message[40:]) == "+OK"
+    client.writer.write(message[:30])
+    while not peer.reader.unread:
+        await asyncio.sleep(0)
+    late(2.1)  # quiet for longer than that it is stalled
+    assert (await client.line()).startswith("-ERR no whole request")
+
+
+def test_places_for_clients_follow_the_memory_too(tmp_path):
+    async def places(folder, **limits):
+        folder.mkdir()
+        async with Fleet(folder, **limits) as fleet:
+            await fleet.inside()
+            return fleet.host.clients.max_clients
+    assert asyncio.run(places(tmp_path / "a", memory_mb=192, sockets=1024)) == 307
+    assert asyncio.run(places(tmp_path / "b", memory_mb=16, sockets=1024)) < 40
