Hear the next upgrade a second after one that failed, with half a second a step

A new process that starts but stalls asked again each 50 ms, and the owner stood still for up to a second in each try.

--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -36,6 +36,7 @@
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
 FORMAT = 1  # of what an upgrade hands over; one that is not known counts as nothing
 LAST_TURNS = 5  # taken before a hand-over, until nothing has come in
+AGAIN_S = 1.0  # after one that failed, until the next is tried: the loop stands still in each
 SPARE_FDS = 24  # what a new process has open before it is given anything
 log = logging.getLogger(__name__)
 
@@ -74,6 +75,7 @@
         self.closing_at = 0.0
         self.closed: asyncio.Future[None] = loop.create_future()
         self.handing_over: asyncio.Task[None] | None = None
+        self.no_upgrade_until = 0.0
         self.leave: Callable[[], None] = lambda: os._exit(0)  # at once: what is open belongs to another now
         hooks = Hooks(self._may_write, self._begin, self._ended, self._told_wait, self._probed)
         self.calls = Calls(loop, hooks, self.s.connection_idle_us, self.s.connect_timeout_us,
@@ -110,6 +112,7 @@
             self.door.listen(self.config.operator)
         if carried:
             self._resume_connections(carried)
+            self.cargo = Cargo()  # all of it has its owner now
         if self.config.listen_fd is not None:
             self._offer_upgrades()
         return port
@@ -139,7 +142,12 @@
         self.loop.add_reader(self.link.sock, self._asked_to_hand_over)
 
     def _asked_to_hand_over(self) -> None:
-        if (self.link and (sock := self.link.accept())) and not self.handing_over:
+        sock = self.link.accept() if self.link else None
+        if sock is None:
+            return
+        if self.handing_over or self.loop.time() < self.no_upgrade_until:
+            sock.close()  # it asks again
+        else:
             self.handing_over = self.loop.create_task(self._hand_over(sock))
 
     async def _hand_over(self, sock: socket.socket) -> None:
@@ -160,7 +168,7 @@
         except Exception:  # whatever it was, this process is still the owner
             log.exception("upgrade: not handed over, going on")
         sock.close()
-        self.handing_over = None
+        self.handing_over, self.no_upgrade_until = None, self.loop.time() + AGAIN_S
         log.warning("upgrade: stood still for %.3f s", self.loop.time() - began)
         for acceptor in acceptors:
             if acceptor.open:
--- a/hopmill/net/upgrade.py
+++ b/hopmill/net/upgrade.py
@@ -21,7 +21,7 @@
 import msgpack
 
 LOCK, LINK = "owner.lock", "upgrade.sock"
-STEP_S = 1.0  # what each side gives the other for a step
+STEP_S = 0.5  # what each side gives the other for a step: the owner stands still meanwhile
 FREE_S, OFTEN_S = 60.0, 0.05  # how long the lock is waited for beside an owner that hands over, and how often
 LEFT_S = 2.0  # and without one: a process that was killed may take a moment to be gone
 HEAD = struct.Struct(">II")  # bytes of the frame, descriptors after it
