--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -60,7 +60,7 @@
            "circuit": ("bad", "open", "trial_at", "gap", "ramp_from", "base", "tokens", "stamp"),
            "lane": ("rate", "brink", "tokens", "stamp", "wait_until", "cut_at", "refused", "window", "fulls",
                     "mean", "dev", "hold", "seen", "seen_at"),
-           "all": ("hold", "loss", "keep", "reaped", "unreturned")}
+           "all": ("hold", "loss", "new_lost", "keep", "reaped", "unreturned")}
 
 
 class Circuit:
@@ -165,6 +165,7 @@
         self.refused = [0.0] * len(settings.kinds)  # as the lanes', over all calls to a kind
         self.reaped = self.unreturned = 0  # calls lost on idle connections; refusals since one came again
         self.hold = 1e5  # as the lanes', over all calls
+        self.new_lost = 0.0  # share of calls on new connections that are lost
         self.loss = LOSS  # share of calls that are never answered though others are
         self.actions: list[Action] = []
 
@@ -412,10 +413,14 @@
 
     def _judge(self, ep: Endpoint, result: Result, call: Call, latency: int, told: int) -> None:
         lane, now = ep.lane, self.now
-        if result in (Result.TIMEOUT, Result.RESET) and call.idle_us >= 0:
-            # A connection dropped unseen while it was idle: older ones are closed before a call.
+        if call.idle_us < 0:
+            alone = result is Result.TIMEOUT and ep.last_ok > call.sent_at  # others were answered meanwhile
+            self.new_lost += (alone - self.new_lost) * LOSS_MEMORY
+        elif result in (Result.TIMEOUT, Result.RESET):
+            # A connection dropped unseen while it was idle: older ones are closed before a call. But where
+            # calls on new ones are lost as well, it is not their idling.
             self.reaped += 1
-            if self.reaped > 1:
+            if self.reaped > 1 and self.new_lost < LOSSY:
                 self.keep = min(self.keep, int(REAP * max(call.idle_us, 2 * lane.mean)))
         if result is Result.OK:
             if call.idle_us > REAP * REAP * self.keep:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -370,3 +370,27 @@
     h.arrive(dest=2)
     assert h.courier.out == 3
     assert patience(h) < CLASSES[2].aim_us * 0.8
+
+
+@pytest.mark.parametrize("new_ones_too", [True, False])
+def test_idle_connections_are_aged_out_only_if_calls_on_new_ones_are_not_lost_as_well(new_ones_too):
+    h = Host(endpoints=1, slots=8)
+
+    def send():
+        return of(Send, h.arrive(cls=2, after=20_000))[0].message
+
+    def lose(message, answered):
+        h.end(answered, Result.OK, after=20_000)  # the endpoint answers others meanwhile
+        h.end(message, Result.TIMEOUT, latency=600_000, after=600_000)
+    for _ in range(6):
+        h.end(send(), Result.OK, after=50_000)
+    if new_ones_too:
+        answered, new = send(), send()  # one connection is idle: the second call opens a new one
+        lose(new, answered)
+    for _ in range(2):
+        answered, reused = send(), send()
+        h.end(answered, Result.OK, after=20_000)
+        h.end(reused, Result.OK, after=20_000)  # two are idle now
+        reused, answered = send(), send()
+        lose(reused, answered)
+    assert (h.courier.keep == h.courier.s.connection_idle_us) is new_ones_too
