--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -51,6 +51,7 @@
 TAIL_X, ALIVE = 1.35, 0.1
 LOST_X = 4.0  # at 1/LOST_X lost, time-outs are no evidence
 LOSS, LOSS_MEMORY = 0.002, 1 / 32  # least share of calls taken as lost, weight of the newest call
+SLOW_X = 3.0  # a route whose calls last this many times the quickest one's is used after that
 LOSSY = 0.01  # over this share, calls are being lost, and not only slow
 LASTS = 2.0  # what is put off for want of slots waits this many times the queue: new messages come first
 TRIAL_X = 0.6  # a half-open trial gets this share of the time-out
@@ -701,7 +702,7 @@
         soon = self.now + mean
         # Where slots are short, what waits for them waits for all calls queued, and one that holds its slot
         # long costs others theirs: hung and slow lanes get what is left (they had eaten all slots).
-        hold = max(lane.hold for lane in dest.lanes)
+        hold = min(ep.lane.hold for ep in free)
         short = self.hold * max(0, len(self.messages) - self.out) / self.s.slots
         late = soon + max(len(dest.queue) / rate * 1e6, LASTS * short)
         best = None
@@ -717,7 +718,9 @@
         warm = any(t > self.now - self.keep for t in ep.idle)
         if self.thin:  # couriers that rank alike pile onto one endpoint or route: by chance, as the rates are
             fee = self.random.expovariate((ep.lane.listed or 1.0) * (1.05 - ep.lane.refused))
-        return (ep.c.open, ep is m.last, int(ep.bad * 4), not warm, fee, len(ep.out), ep.id)
+        quickest = min((x.mean for x in ep.lane.dest.lanes if x.mean), default=0.0)
+        slow = ep.lane.mean > SLOW_X * quickest  # its calls hold the destination's slots from a quick route
+        return (ep.c.open, ep is m.last, int(ep.bad * 4), slow, not warm, fee, len(ep.out), ep.id)
 
     def _pump(self) -> None:
         """Send what the gate lets through, the most urgent first, while slots are free."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -394,3 +394,36 @@
         reused, answered = send(), send()
         lose(reused, answered)
     assert (h.courier.keep == h.courier.s.connection_idle_us) is new_ones_too
+
+
+def two_routes(**changes):
+    """A partner with two routes: calls to 100 last 0.9 s, calls to 101 0.1 s."""
+    h = Host(endpoints=2, kinds=(Kind("k", routes_apart=True),), **changes)
+    for ep in h.courier.endpoints.values():
+        ep.lane.window = 8.0
+        ep.lane.mean = ep.lane.hold = 9e5 if ep.id == 100 else 1e5
+    return h
+
+
+def test_a_route_with_long_calls_is_used_after_a_quick_one():
+    # They had filled the partner's part of the slots, and its quick route got nothing for seconds.
+    h = two_routes()
+    for _ in range(4):
+        send = of(Send, h.arrive())[0]
+        assert send.endpoint == 101
+        h.end(send.message, Result.OK, endpoint=101)
+    h.courier.endpoints[101].lane.wait_until = h.now + S
+    assert of(Send, h.arrive())[0].endpoint == 100  # but it is used
+
+
+def test_a_partner_is_ranked_by_its_free_routes_and_not_by_the_slow_one():
+    h = two_routes(slots=1)
+    h.do(EndpointsListed(ListForm.DELTA, (ListEntry(200, 2, EndpointState.READY),)))
+    busy = of(Send, h.arrive(dest=2))[0]
+    other = h.courier.endpoints[200].lane
+    h.arrive(dest=2)
+    waiting = h.next + 1
+    h.arrive(dest=1)
+    other.mean = other.hold = 5e5
+    acts = h.do(AttemptEnded(busy.message, 0, 200, Result.MOOT, 0, True))
+    assert [s.message for s in of(Send, acts)] == [waiting]
