--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -218,8 +218,11 @@
         return await self.send(self.message(ident, **more))
 
 
+DOOR = "127.0.0.2"  # not the others' address: a port that is free there is not taken by a client meanwhile
+
+
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
+    with socket.create_server((DOOR, 0)) as sock:
         return sock.getsockname()[1]
 
 
@@ -261,7 +264,7 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         return {"LB_NAME": "n0", "LB_LISTEN": "127.0.0.1:0", "LB_CONFIG": str(path),
-                "LB_OPERATOR": f"127.0.0.1:{self.door}" if self.door else "",
+                "LB_OPERATOR": f"{DOOR}:{self.door}" if self.door else "",
                 "LB_DISCOVERY": f"127.0.0.1:{self.discovery.port}", "LB_STATE": str(self.folder / "state")}
 
     async def inside(self):
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from loopback import Client, bounded, courier
+from loopback import DOOR, Client, bounded, courier
 
 from hopmill.net.state import Journal
 
@@ -13,7 +13,7 @@
 
 async def say(port, data):
     """Send these bytes and read until the other side ends: status and body."""
-    reader, writer = await bounded(asyncio.open_connection("127.0.0.1", port))
+    reader, writer = await bounded(asyncio.open_connection(DOOR, port))
     writer.write(data)
     text = await bounded(reader.read())
     writer.close()
@@ -63,7 +63,7 @@
 async def test_callers_without_a_whole_call_keep_nobody_out(fleet):
     fleet.limits["sockets"] = 160
     await fleet.inside()
-    slow = [await bounded(asyncio.open_connection("127.0.0.1", fleet.door)) for _ in range(40)]
+    slow = [await bounded(asyncio.open_connection(DOOR, fleet.door)) for _ in range(40)]
     for _, writer in slow:
         writer.write(b"GET /healthch")
     assert (await call(fleet.door, "GET", "/healthcheck"))[0] == 200
