Pace large fleets by the part of a listed rate from the start, not from a refusal on

Seen: with the fleet's calls counted by destination and second, a route of 9.9 calls a second got 17 to 22 and delivered 1 to 7, since refused calls use the limit up; a directory got a call for nearly each message though it takes bundles.

At fault: Courier._listed, _overloaded and _succeeded, where thin set a lane's rate to 0 until it was refused.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -272,8 +272,7 @@
                 if self.s.rates_listed and entry.rate_per_s > 0:
                     part = entry.rate_per_s / self.s.couriers
                     if abs(part - ep.lane.listed) > 1e-6 * part:
-                        ep.lane.listed = part
-                        ep.lane.rate = ep.lane.brink = 0.0 if self.thin else part
+                        ep.lane.listed = ep.lane.rate = ep.lane.brink = part
         for ident, ep in list(self.endpoints.items()):
             if e.form is not ListForm.DELTA and ident not in named:
                 ep.state = EndpointState.GONE
@@ -498,8 +497,6 @@
             near = lane.rate >= NEAR * lane.brink
             step = GROW * min(1.0, max(0.1, (now - lane.cut_at) / CALM_US)) if near else GROW
             lane.rate = min(top, lane.rate + step * (lane.listed or lane.rate))
-            if self.thin and not lane.dest.queue and now - lane.cut_at > CALM_US:
-                lane.rate = 0.0
         if ep.c.open:
             ep.c.open = False
             if not self.thin or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
@@ -518,14 +515,9 @@
             lane.cut_at = now + max(int(lane.mean), 2 * self.s.tick_us)
             lane.window = max(1.0, lane.window / 2)
             lane.brink = lane.rate or lane.seen * SPARE
-            # In a large fleet an equal part of a rate is a call in many seconds, and who needs it is chance:
-            # paced only from a refusal on, until no more come and nothing waits.
             if lane.rate:
                 lane.rate = max(lane.rate * CUT, lane.listed * FLOOR, 0.0 if self.thin else 0.2)
-            elif self.thin:
-                lane.rate = lane.brink = lane.listed
-                lane.tokens, lane.stamp = self.random.random(), now
-            else:
+            elif not self.thin:  # a floor for each of many couriers would add up
                 lane.rate = max(0.5, lane.seen * CUT)
             lane.fulls += 1
         lane.wait_until = max(lane.wait_until, now + (told or self._backoff(lane.fulls)))
