Measure a queue against its pace in bundles, not in messages

A queue of four messages (one call in 1.7 s) counted as 7 s. Ruled out: the partner, its limit, slots, places for messages. At fault: Courier._refusal, messages divided by a pace in calls.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -337,7 +337,8 @@
         """
         if dest.lanes and all(lane.rate for lane in dest.lanes):
             pace = sum(lane.rate for lane in dest.lanes)
-            ahead = len(dest.queue) - sum(self._fill(lane) for lane in dest.lanes)
+            calls = math.ceil(len(dest.queue) / self.s.kinds[dest.kind].batch)
+            ahead = calls - sum(self._fill(lane) for lane in dest.lanes)
             return float(ahead / pace * 1e6 > PATIENCE * life)
         lent = self.refused[dest.kind] ** 2  # to lanes without calls, if most of the kind are refused
         shares = [x.refused if x.refused or x.seen_at else lent for x in dest.lanes if not x.rate]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -173,6 +173,16 @@
     assert refused >= 4
 
 
+def test_what_one_bundle_takes_is_not_handed_back_for_its_pace():
+    # Eight messages are one call here: counted as eight, most were refused, and clients handed them in again.
+    refused = {}
+    for batch in (1, 10):
+        h = fleet(rate=20.0, kinds=(Kind("k", batch=batch),))  # a part of a call in 5 s
+        h.arrive()
+        refused[batch] = sum(len(of(Refuse, h.arrive())) for _ in range(8))
+    assert refused[1] >= 6 and not refused[10]
+
+
 def test_room_is_made_by_handing_back_what_waits_longest_for_one_destination():
     h = Host(max_held=10)
     h.do(EndpointsListed(ListForm.DELTA, (entry(100, state=EndpointState.DRAINING), entry(200, dest=2))))
