Steer each lane's pace by the limit and the share left of it that answers tell

Ruled out: the endpoint, slots, failed connections. At fault: calls.single_outcome and wire._event, which dropped the report; Courier._overloaded, which learned of a limit by this courier's own refusals alone.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -31,6 +31,7 @@
 CUT = 0.75  # on overload the rate shrinks by this, once a round trip
 GROW = 0.1  # and a success adds this share of the listed (or first learned) rate
 NEAR, CALM_US = 0.9, 5_000_000  # near the last refused pace it grows slowly, until this long after
+STEP, TOLD = 0.25, 0.2  # a told limit this far off is a new one; else it is chance, and has this weight
 FLOOR = 0.4  # but a listed rate is not left further than this behind
 # Health of an endpoint.
 MEMORY = 0.25  # weight of the newest outcome in the failing share
@@ -96,10 +97,13 @@
     def __init__(self, dest: Destination, circuit: Circuit | None) -> None:
         self.dest, self.circuit = dest, circuit
         self.endpoints: dict[int, Endpoint] = {}
-        self.listed = 0.0  # this courier's part of the listed rate, 0 if none
+        self.hint = 0.0  # the listed rate, 0 if none
+        self.listed = 0.0  # this courier's part of the limit, as listed or told by answers since, 0 if none
         self.rate = self.brink = 0.0  # calls a second that it is paced to, 0 = not; pace last refused
         self.tokens, self.stamp, self.wait_until, self.cut_at = 1.0, 0, 0, 0
         self.refused = 0.0  # share of calls refused as full
+        self.report: tuple[float, ...] = ()  # the newest that an answer brought
+        self.steered = False  # its reports tell a limit
         self.window, self.out, self.fulls = 1.0, 0, 0
         self.mean = self.dev = 0.0  # latency
         self.hold = 1e5  # time that a call takes a slot, failed ones included
@@ -269,10 +273,9 @@
                 ep = self._add(entry)
             if ep is not None:
                 ep.state = entry.state
-                if self.s.rates_listed and entry.rate_per_s > 0:
-                    part = entry.rate_per_s / self.s.couriers
-                    if abs(part - ep.lane.listed) > 1e-6 * part:
-                        ep.lane.listed = ep.lane.rate = ep.lane.brink = part
+                if self.s.rates_listed and entry.rate_per_s > 0 and ep.lane.hint != entry.rate_per_s:
+                    ep.lane.hint = entry.rate_per_s
+                    ep.lane.listed = ep.lane.rate = ep.lane.brink = entry.rate_per_s / self.s.couriers
         for ident, ep in list(self.endpoints.items()):
             if e.form is not ListForm.DELTA and ident not in named:
                 ep.state = EndpointState.GONE
@@ -372,6 +375,8 @@
                 else:
                     self.actions.append(CloseIdle(ep.id))
         m.out -= 1
+        if e.report and not call.judged:
+            self._reported(ep.lane, e.report)
         if e.retry_after_us:
             # Heeded for each message: those of one batched call were told different waits. A told wait comes
             # in cut milliseconds, so one more keeps a send from falling just inside its end.
@@ -407,6 +412,26 @@
             m.quick = m.tries == 1 and e.latency_us < QUICK_US
             m.dest.queue.append(m)
 
+    def _reported(self, lane: Lane, report: tuple[float, ...]) -> None:
+        """Answers, refusals too, tell the limit in force, where the list goes on naming the usual one, and
+        how much of it is left: the one thing that tells a courier what all the others send."""
+        if report == lane.report:  # endpoints renew theirs a few times a second at most: each counts once
+            return
+        lane.report = report
+        told = dict(zip(self.s.report_fields, report, strict=False))
+        limit, left = told.get("x1", 0.0) / self.s.couriers, min(1.0, max(0.0, told.get("x0", 0.0)))
+        lane.steered = limit > 0
+        if not lane.steered:
+            return
+        known = lane.listed or limit
+        part = limit if abs(limit - known) > STEP * known else known + (limit - known) * TOLD
+        lane.rate = (lane.rate or part) * part / known
+        lane.listed = part
+        # Of a limit that is all used, half is left in the mean over its span. While more is, parts that
+        # others leave idle are taken up; while less is, back towards the equal part, whose sum is the limit.
+        rate = lane.rate * (0.5 + left)
+        lane.rate = min(rate, part * self.s.couriers) if left > 0.5 else max(min(lane.rate, part), rate)
+
     def _backoff(self, attempt: int) -> int:
         return int(self.random.uniform(0, min(CAP_US, BASE_US * 2 ** min(attempt, 30))))
 
@@ -491,7 +516,7 @@
         lane.fulls, lane.refused = 0, lane.refused * (1 - REFUSED_MEMORY)
         self.refused[lane.dest.kind] *= 1 - KIND_MEMORY
         lane.window = min(self.cap, lane.window + 1)
-        if lane.rate:
+        if lane.rate and not lane.steered:
             top = lane.listed * self.s.couriers or math.inf
             # Fast up to where it was last refused, then slowly, the faster the longer ago that was: growth at
             # one pace met a refusal in ten calls.
@@ -517,13 +542,15 @@
             lane.window = max(1.0, lane.window / 2)
             lane.brink = lane.rate or lane.seen * SPARE
             if lane.rate:
-                lane.rate = max(lane.rate * CUT, lane.listed * FLOOR, 0.0 if self.thin else 0.2)
+                cut = min(lane.rate * CUT, lane.listed or math.inf)  # the equal parts sum to the limit
+                lane.rate = max(cut, lane.listed * FLOOR, 0.0 if self.thin else 0.2)
             elif not self.thin:  # a floor for each of many couriers would add up
                 lane.rate = max(0.5, lane.seen * CUT)
             lane.fulls += 1
         lane.wait_until = max(lane.wait_until, now + (told or self._backoff(lane.fulls)))
         self._fill(lane)
-        lane.tokens, lane.stamp = min(lane.tokens, 1.0), max(now, lane.wait_until)
+        lane.tokens = min(lane.tokens, self.random.random() if self.s.couriers > 1 else 1.0)
+        lane.stamp = max(now, lane.wait_until)
 
     def _dirt(self, ep: Endpoint) -> float:
         return ep.dirty * max(0.0, 1 - (self.now - ep.dirty_at) / max(1.0, DIRTY_FADE * self.s.cold_us))
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -138,6 +138,7 @@
     key_rest_us: int = 0
     answer_slack_us: int = 0
     list_on_request: bool = False  # the endpoint list comes only after Subscribe or FetchList
+    report_fields: tuple[str, ...] = ()  # names of the figures that an answer may report
     rates_listed: bool = False  # the list gives each destination's rate (else its figure means nothing)
     over_share_worth: float = 1.0
     late_halves: bool = False  # worth halves with each further aim, in place of falling evenly
@@ -216,6 +217,7 @@
     latency_us: int
     closed: bool = False
     retry_after_us: int = 0  # with FULL: the told wait, 0 if none was told
+    report: tuple[float, ...] = ()  # the endpoint's, in the order of Settings.report_fields; () if none
 
 
 @dataclass(frozen=True, slots=True)
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import logging
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -46,6 +47,7 @@
     result: Result
     over: bool = False  # nothing more is owed for the message
     wait_us: int = 0  # a told wait
+    report: tuple[tuple[str, float], ...] = ()  # the endpoint's figures, by name
 
 
 @dataclass
@@ -68,17 +70,26 @@
 
 def single_outcome(status: int, headers: dict[str, str]) -> Outcome:
     """PROTOCOL's table of answers."""
-    wait = told_wait(headers)
+    result, over = Result.ERROR, False  # 500, or what the protocol does not name: it may have run
     if status == 200:
-        return Outcome(Result.OK, over=True, wait_us=wait)
-    if status in (429, 503):
-        no_slot = headers.get("slots-taken") == "1"
-        return Outcome(Result.MOOT if no_slot else Result.FULL, wait_us=wait)
-    if status == 410:
-        return Outcome(Result.MOOT, over=True, wait_us=wait)
-    if status in (400, 413, 504):  # not sent
-        return Outcome(Result.MOOT, wait_us=wait)
-    return Outcome(Result.ERROR, wait_us=wait)  # 500, or what the protocol does not name: it may have run
+        result, over = Result.OK, True
+    elif status in (429, 503):
+        result = Result.MOOT if headers.get("slots-taken") == "1" else Result.FULL
+    elif status == 410:
+        result, over = Result.MOOT, True
+    elif status in (400, 413, 504):  # not sent
+        result = Result.MOOT
+    return Outcome(result, over, told_wait(headers), load_report(headers))
+
+
+def load_report(headers: dict[str, str]) -> tuple[tuple[str, float], ...]:
+    """'x0=0.4,x1=25'. One figure that can't be read makes all of it worth nothing."""
+    try:
+        pairs = [part.partition("=") for part in headers.get("x-server-load", "").split(",") if part]
+        report = tuple((name.strip(), float(value)) for name, _, value in pairs)
+    except ValueError:
+        return ()
+    return report if all(math.isfinite(value) for _, value in report) else ()
 
 
 def told_wait(headers: dict[str, str]) -> int:
@@ -88,15 +99,16 @@
         return 0
 
 
-def bundle_outcomes(body: bytes, wait_us: int) -> dict[str, Outcome]:
+def bundle_outcomes(body: bytes, headers: dict[str, str]) -> dict[str, Outcome]:
     """Each one's end in a bundle's answer; unreadable ones lack."""
+    wait, report = told_wait(headers), load_report(headers)
     try:
         rows = json.loads(body)
         states = {str(row["id"]): STATES[row["state"]] for row in rows}
         voids = {str(row["id"]) for row in rows if row["state"] in ("done", "void")}
     except (ValueError, KeyError, TypeError, RecursionError):  # the last one: nested too deep
         return {}
-    return {i: Outcome(r, i in voids, wait_us) for i, r in states.items()}
+    return {i: Outcome(r, i in voids, wait, report) for i, r in states.items()}
 
 
 class Call(Exchange):
@@ -127,7 +139,7 @@
         if self.path:
             self.calls.probe_ended(self, Result.OK if self.status == 200 else Result.FULL)
         elif self.status == 200 and len(self.items) > 1:
-            ends = bundle_outcomes(bytes(self.body), told_wait(self.headers))
+            ends = bundle_outcomes(bytes(self.body), self.headers)
             for item in self.items:
                 # One that the answer leaves out may have run.
                 self.finish(item, ends.get(item.id, Outcome(Result.ERROR)))
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -487,8 +487,10 @@
             self._note(self.journal.missed, m.number)
         if over:
             self.attempts.pop(item.number, None)
+        named = dict(outcome.report)
+        report = tuple(named.get(name, 0.0) for name in self.s.report_fields) if named else ()
         self.tell(i.AttemptEnded(item.number, item.attempt, endpoint, outcome.result, max(1, latency), over,
-                                 outcome.wait_us))
+                                 outcome.wait_us, report))
         self._maybe_exit()
 
     def _probed(self, endpoint: int, result: i.Result, latency: int) -> None:
--- a/hopmill/wire.py
+++ b/hopmill/wire.py
@@ -87,6 +87,7 @@
 
 def _settings(raw: dict[str, Any]) -> i.Settings:
     family, limits, contract = raw.get("familyInfo", {}), raw["policyLimits"], raw["contract"]
+    report = raw.get("report", {})
     classes = tuple(
         i.MessageClass(
             name=c.get("name", str(k)), aim_us=int(c["goalTimeUs"]), deadline_us=int(c["deadlineUs"]),
@@ -116,6 +117,7 @@
         fall_us=int(contract["fallUs"]), key_rest_us=int(contract.get("keyRestUs", 0)),
         answer_slack_us=int(contract.get("answerSlackUs", 0)),
         list_on_request=raw.get("membershipMode") == "on_request",
+        report_fields=tuple(report.get("fields", ())) if report.get("how") == "piggyback" else (),
         rates_listed=raw.get("weightSource") in ("nominal", "rough"),
         over_share_worth=float(raw.get("overShareWorth", 1.0)), late_halves=family.get("late") == "halves",
         clients_mark_retries=bool(raw.get("clients", {}).get("marksRetry", False)),
@@ -179,10 +181,11 @@
         seed, offset, size = _BEGIN.unpack_from(view, at)
         return Begin(seed, read_settings(_slice(tail, offset, size, "the settings")))
     if code == 8:
-        ident, attempt, address, port, result, latency, last, hold_ms, *_ = _ANSWER.unpack_from(view, at)
+        ident, attempt, address, port, result, latency, last, hold, n, *load = _ANSWER.unpack_from(view, at)
         kind = _choice(RESULTS, result, "result")
-        wait = hold_ms * 1000 if kind is i.Result.FULL else 0
-        return i.AttemptEnded(ident, attempt, endpoint_id(address, port), kind, latency, bool(last), wait)
+        wait = hold * 1000 if kind is i.Result.FULL else 0
+        return i.AttemptEnded(ident, attempt, endpoint_id(address, port), kind, latency, bool(last), wait,
+                              tuple(load[:n]))
     if code == 9:
         return Shutdown()
     if code == 10:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -48,6 +48,9 @@
     (answer(500), c.Outcome(Result.ERROR)),
     (answer(429, Retry_After="0.25"), c.Outcome(Result.FULL, wait_us=250_000)),
     (answer(503), c.Outcome(Result.FULL)),
+    (answer(503, X_Server_Load="x0=0.4,x1=25"), c.Outcome(Result.FULL, report=(("x0", 0.4), ("x1", 25.0)))),
+    (answer(503, X_Server_Load="x0=0.4,x1=nan"), c.Outcome(Result.FULL)),  # one that can't be read is none
+    (answer(503, X_Server_Load="x0,=,x1=25,"), c.Outcome(Result.FULL)),
     (answer(503, Slots_Taken="1"), c.Outcome(Result.MOOT)),
     (answer(504), c.Outcome(Result.MOOT)),
     (answer(410), c.Outcome(Result.MOOT, over=True)),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -49,7 +49,7 @@
     told = EndpointsListed(ListForm.CACHED, (entry(100, rate=rate),))
     given = dict(classes=CLASSES, slots=4, max_held=50, rates_listed=True, couriers=couriers)
     all_ = [Courier(Settings(me=k, **given), k) for k in range(couriers)]
-    for k, c in enumerate(all_):
+    for c in all_:
         c.handle(0, [told])
         for step in range(40):  # 2 s, the messages within the first 0.2 s
             now = S + step * 50_000
@@ -173,6 +173,70 @@
     assert refused >= 4
 
 
+class Fleet:
+    """Couriers with messages for one destination; each call is answered 50 ms later, with a report."""
+
+    def __init__(self, couriers, rate, alive=None):
+        given = dict(classes=CLASSES, slots=4, max_held=400, rates_listed=True, report_fields=("x0", "x1"))
+        self.all = [Courier(Settings(me=k, couriers=couriers, **given), k) for k in range(alive or couriers)]
+        self.now, self.ident = 0, 0
+        self.do(lambda c: [EndpointsListed(ListForm.CACHED, (entry(100, rate=rate),))])
+
+    def do(self, events):
+        return sum(len(of(Send, c.handle(self.now, events(c)))) for c in self.all)
+
+    def run(self, seconds, each_per_s, result, told=0, report=()):
+        """Returns the calls sent a second, by all together."""
+        self.ident += 1000
+        sent = 0
+        ends = (result, 50_000, result is Result.OK, told, report)
+        for step in range(int(seconds * 20)):
+            self.now += 50_000
+            arrives = step % int(20 / each_per_s) == 0
+            sent += self.do(lambda c, step=step, arrives=arrives: [
+                *[AttemptEnded(m, attempt, 100, *ends) for m, attempt in c.calls],
+                *([MessageArrived(self.ident + step, 0, 1, self.now + 60 * S)] if arrives else [])])
+        return sent / seconds
+
+
+def test_a_lowered_limit_is_heeded_as_soon_as_answers_tell_it_and_not_when_calls_are_refused():
+    fleet = Fleet(40, rate=80.0)
+    assert 60 <= fleet.run(4, 4, Result.OK, report=(0.4, 80.0)) <= 100
+    fleet.run(2, 4, Result.OK, report=(0.4, 20.0))
+    assert fleet.run(6, 4, Result.OK, report=(0.4, 20.0)) <= 20 * 1.2
+    fleet.run(8, 4, Result.OK, report=(0.4, 80.0))
+    assert fleet.run(4, 4, Result.OK, report=(0.4, 80.0)) >= 60
+
+
+def test_a_limit_told_within_chance_of_the_known_one_moves_the_pace_little():
+    h = Host(rate=10.0, report_fields=("x0", "x1"))
+    lane = h.courier.endpoints[100].lane
+    for k in range(30):
+        h.courier._reported(lane, (0.5 + k * 1e-6, 10.0 * (0.85, 1.15)[k % 2]))
+    assert 9 < lane.listed < 11
+
+
+def test_survivors_take_up_the_parts_that_answers_tell_are_left_and_give_them_back():
+    fleet = Fleet(40, rate=40.0, alive=10)
+    fleet.run(1, 4, Result.OK)
+    news = ((0.9 - k / 1000, 40.0) for k in range(100))
+    for _ in range(8):  # a new report each second
+        most = fleet.run(1, 4, Result.OK, report=next(news))
+    assert most >= 30  # their own ten parts are 10 calls a second
+    for k in range(8):
+        least = fleet.run(1, 4, Result.OK, report=(0.01 + k / 1000, 40.0))
+    assert least <= 14
+
+
+def test_one_report_that_many_answers_repeat_counts_once():
+    h = Host(rate=10.0, report_fields=("x0", "x1"))
+    lane = h.courier.endpoints[100].lane
+    for _ in range(20):
+        h.arrive()
+        h.courier._reported(lane, (0.9, 10.0))
+    assert lane.rate < 1.5 * 10
+
+
 def test_what_one_bundle_takes_is_not_handed_back_for_its_pace():
     # Eight messages are one call here: counted as eight, most were refused, and clients handed them in again.
     refused = {}
