Spread the couriers' new watches over a time that grows with the fleet

Ruled out: an outage (with 5 to 20 s between tries all were answered), a Retry-After, a longest wait of 10 s. At fault: discovery.Backoff, 0.1 to 1 s whatever the fleet's size.

--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -14,7 +14,7 @@
 
 SILENCE_S = 3.2  # an empty line comes every 2 s: after this the watch is taken for dead
 CONNECT_S = 1.0
-AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
+AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try, for one courier alone
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
 BATCH = 200  # notices in one request
 log = logging.getLogger(__name__)
@@ -23,26 +23,28 @@
 class Backoff:
     """Full jitter below a doubling ceiling, with a floor so that it never spins."""
 
-    def __init__(self) -> None:
-        self.ceiling = AGAIN_S[0]
+    def __init__(self, couriers: int = 1) -> None:
+        """couriers: how many ask the same server. All together come again as often as one alone would: a
+        busy server lets calls wait until they are given up, and has then worked for none of them."""
+        self.first, self.longest = (s * couriers for s in AGAIN_S)
+        self.ceiling = self.first
 
     def next(self) -> float:
         wait = random.uniform(self.ceiling / 4, self.ceiling)
-        self.ceiling = min(AGAIN_S[1], self.ceiling * 2)
+        self.ceiling = min(self.longest, self.ceiling * 2)
         return wait
 
     def reset(self) -> None:
-        self.ceiling = AGAIN_S[0]
+        self.ceiling = self.first
 
 
 class Link:
     """A connection to discovery that is opened anew when it is lost."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address) -> None:
-        self.loop, self.address = loop, address
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, backoff: Backoff) -> None:
+        self.loop, self.address, self.backoff = loop, address, backoff
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.backoff = Backoff()
         self.stopped = False
 
     def after(self, delay: float, action: Callable[[], None]) -> None:
@@ -106,8 +108,8 @@
     """Follows the list of endpoints from the last version on."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, rev: int,
-                 told: Callable[[dict[str, Any]], None]) -> None:
-        super().__init__(loop, address)
+                 told: Callable[[dict[str, Any]], None], couriers: int = 1) -> None:
+        super().__init__(loop, address, Backoff(couriers))
         self.rev, self.told = rev, told
         self.tail, self.status = b"", 0
 
@@ -157,7 +159,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address,
                  accepted: Callable[[list[int]], None]) -> None:
-        super().__init__(loop, address)
+        super().__init__(loop, address, Backoff())  # its own machine's agent answers these
         self.accepted = accepted
         self.waiting: dict[int, bytes] = {}
         self.sent: list[int] = []
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -83,7 +83,7 @@
         places = min(config.sockets * CLIENT_SHARE, config.memory_bytes * MEMORY_SHARE / MAX_REQUEST)
         self.clients = ClientServer(self.put, max(8, int(places)))
         self.notices = Notices(loop, config.discovery, self._accepted)
-        self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
+        self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed, self.s.couriers)
         self.moved_to: Address | None = None  # where discovery went with a changed configuration
         self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck),
                                 ("POST", "/healthcheck/fail", lambda: self._drain(True)),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Large fleets: what hundreds of small couriers do alike must sum to what a destination bears."""
 
+import random
+
 import pytest
 from test_brain import CLASSES, Host, S, of
 
@@ -7,6 +9,7 @@
 from hopmill.interface import (
     AttemptEnded, CloseIdle, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm, MessageArrived,
     Refuse, Result, Send, Settings)
+from hopmill.net.discovery import Backoff
 
 
 def fleet(**changes):
@@ -178,6 +181,18 @@
     assert refused >= 4
 
 
+@pytest.mark.parametrize("couriers", [1, 3, 40, 300])
+def test_all_couriers_together_ask_discovery_again_as_often_as_one_alone(couriers):
+    # Forty that each came again within a second jammed it: it gave up each call just before its turn came.
+    random.seed(couriers)
+    asked = 0
+    for _ in range(couriers):
+        backoff, at = Backoff(couriers), 0.0
+        while (at := at + backoff.next()) < 20.0 * couriers:
+            asked += 1
+    assert 20 * couriers <= asked <= 40 * couriers  # 1 to 2 a second over 20 s for each courier there is
+
+
 class Fleet:
     """Couriers with messages for one destination; each call is answered 50 ms later, with a report."""
 
