Steer the pace in small steps, and let it come back from a cut by itself

Ruled out: noise of x1, the swing of x0 within a span, refilling in step (each measured, on record). At fault: Courier._reported, a factor of up to 1.5 for each report that all hear; Courier._fill, no way back from a cut but reports, which a pace of 0.1 calls a second does not bring.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -338,7 +338,7 @@
         there to pace itself, but a share by chance adds up.
         """
         if dest.lanes and all(lane.rate for lane in dest.lanes):
-            pace = sum(lane.rate for lane in dest.lanes)
+            pace = sum(self._pace(lane) for lane in dest.lanes)
             calls = math.ceil(len(dest.queue) / self.s.kinds[dest.kind].batch)
             ahead = calls - sum(self._fill(lane) for lane in dest.lanes)
             return float(ahead / pace * 1e6 > PATIENCE * life)
@@ -425,8 +425,10 @@
         lane.listed = part
         # Of a limit that is all used, half is left in the mean over its span. While more is, parts that
         # others leave idle are taken up; while less is, back towards the equal part, whose sum is the limit.
-        rate = lane.rate * (0.5 + left)
-        lane.rate = min(rate, part * self.s.couriers) if left > 0.5 else max(min(lane.rate, part), rate)
+        # In small steps: all of them hear the same news, and what they send too much together is refused and
+        # paid back out of the limit.
+        rate = lane.rate + GROW * part * (2 * left - 1)
+        lane.rate = min(max(rate, min(lane.rate, part)), part * self.s.couriers)
 
     def _backoff(self, attempt: int) -> int:
         return int(self.random.uniform(0, min(CAP_US, BASE_US * 2 ** min(attempt, 30))))
@@ -620,12 +622,19 @@
 
     # The gate and the choice
 
+    def _pace(self, lane: Lane) -> float:
+        """Calls a second. After a refusal it comes back to the equal part by itself: one of many couriers
+        hears of a lane so seldom that answers alone left it down for as long as the limit was lowered."""
+        calm = min(1.0, FLOOR + (1 - FLOOR) * (self.now - lane.cut_at) / CALM_US) if lane.steered else 0.0
+        return max(lane.rate, lane.listed * calm)
+
     def _fill(self, lane: Lane) -> float:
         if not lane.rate:
             return 1.0
         if self.now > lane.stamp:
-            tokens = lane.tokens + lane.rate * (self.now - lane.stamp) / 1e6
-            lane.tokens, lane.stamp = min(tokens, max(1.0, lane.rate * self.burst)), self.now
+            rate = self._pace(lane)
+            tokens = lane.tokens + rate * (self.now - lane.stamp) / 1e6
+            lane.tokens, lane.stamp = min(tokens, max(1.0, rate * self.burst)), self.now
         return lane.tokens
 
     def _warm(self, circuit: Circuit) -> float:
@@ -659,7 +668,7 @@
                 self._wake(now + int((1 - ep.c.tokens) / rate * 1e6) + 1)
                 return False
         if self._fill(lane) < 1.0:
-            self._wake(max(now, lane.stamp) + int((1 - lane.tokens) / lane.rate * 1e6) + 1)
+            self._wake(max(now, lane.stamp) + int((1 - lane.tokens) / self._pace(lane) * 1e6) + 1)
             return False
         return True
 
