Hold what can be reached within its life; hand back at once only the rest

Ruled out: the partners' refusals, deadlines, want of room. At fault: Courier._refusal, PATIENCE = 0.5 of a message's life.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -22,7 +22,6 @@
 TRIES = 3  # attempts of one message, first included (the note's default)
 DESERTED = 20  # after this many refusals with no client coming again, clients are taken not to do so
 WINDOW_SHARE = 0.75  # a destination's calls stay under this share of the slots
-PATIENCE = 0.5  # what would wait for its pace over this part of its life is handed back
 ROOM = 2  # places kept free for new messages
 SHED = 0.9  # at most this share of new messages is refused unsent
 REFUSED_MEMORY, KIND_MEMORY = 0.5, 1 / 16  # weight of the newest call in the share refused: lane, kind
@@ -341,7 +340,7 @@
             pace = sum(self._pace(lane) for lane in dest.lanes)
             calls = math.ceil(len(dest.queue) / self.s.kinds[dest.kind].batch)
             ahead = calls - sum(self._fill(lane) for lane in dest.lanes)
-            return float(ahead / pace * 1e6 > PATIENCE * life)
+            return float(ahead / pace * 1e6 > life)
         lent = self.refused[dest.kind] ** 2  # to lanes without calls, if most of the kind are refused
         shares = [x.refused if x.refused or x.seen_at else lent for x in dest.lanes if not x.rate]
         return min(SHED, sum(shares) / max(1, len(dest.lanes)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -281,6 +281,15 @@
     assert refused[1] >= 6 and not refused[10]
 
 
+def test_what_can_be_reached_within_its_life_is_held_and_not_handed_back():
+    h = fleet(rate=20.0)  # a part of a call in 5 s
+    h.arrive()
+    h.end(h.next, Result.OK)
+    assert not of(Refuse, h.arrive(life=6 * S))  # its turn comes at four fifths of its life
+    assert of(Send, h.idle(5))
+    assert of(Refuse, h.arrive(life=2 * S))
+
+
 def test_room_is_made_by_handing_back_what_waits_longest_for_one_destination():
     h = Host(max_held=10)
     h.do(EndpointsListed(ListForm.DELTA, (entry(100, state=EndpointState.DRAINING), entry(200, dest=2))))
