--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -12,9 +12,10 @@
 from collections.abc import Iterable
 
 from hopmill.interface import (
-    Action, AttemptAnswering, AttemptEnded, CallCarried, Carried, CloseIdle, Closing, Effect, EndpointsListed,
-    EndpointState, Event, Fail, ListEntry, ListForm, Log, MessageArrived, MessageClass, MessageGone, Refuse,
-    Result, Send, SetByHand, SetTimer, Settings, Subscribe)
+    Action, AttemptAnswering, AttemptEnded, CallCarried, Carried, CloseIdle, Closing, Connections, Effect,
+    EndpointsListed, EndpointState, Event, Fail, Keep, ListEntry, ListForm, Log, MessageArrived, MessageClass,
+    MessageGone, OpenIdle, Refuse, Result, Send, SetByHand, SetTimer, Settings, Subscribe, WarmUp)
+from hopmill.links import Links
 
 # The design's own figures.
 BASE_US = 100_000  # first ceiling of the jittered wait (the note's default)
@@ -61,6 +62,7 @@
            "circuit": ("bad", "open", "trial_at", "gap", "ramp_from", "base", "tokens", "stamp"),
            "lane": ("rate", "brink", "tokens", "stamp", "wait_until", "cut_at", "refused", "window", "fulls",
                     "mean", "dev", "hold", "seen", "seen_at"),
+           "links": ("calls", "counted_at", "first_at", "part", "bound", "grow_at"),
            "all": ("hold", "loss", "new_lost", "keep", "reaped", "unreturned")}
 
 
@@ -81,12 +83,12 @@
 class Endpoint:
     """One endpoint and what its calls showed."""
 
-    def __init__(self, ident: int, lane: Lane, zone: int) -> None:
-        self.id, self.lane, self.zone = ident, lane, zone
+    def __init__(self, ident: int, lane: Lane, zone: int, links: Links) -> None:
+        self.id, self.lane, self.zone, self.links = ident, lane, zone, links
         self.state = EndpointState.READY
         self.out: dict[int, Call] = {}  # calls in flight, oldest first
-        self.idle: list[int] = []  # when each idle connection came free
         self.bad, self.dirty, self.dirty_at, self.last_ok = 0.0, 0.0, 0, 0
+        self.reused_ok = -FRESH_US  # when a call on a reused connection was last delivered
         self.c = lane.circuit or Circuit()
 
 
@@ -173,6 +175,7 @@
         self.hold = 1e5  # as the lanes', over all calls
         self.new_lost = 0.0  # share of calls on new connections that are lost
         self.loss = LOSS  # share of calls that are never answered though others are
+        self.warm_up = False  # connections may be opened before a message needs them
         self.actions: list[Action] = []
 
     # Events
@@ -194,8 +197,12 @@
                 self._close(m)
             elif isinstance(e, Closing):
                 self.closing = e.until_us
+            elif isinstance(e, Connections) and (ep := self.endpoints.get(e.endpoint)):
+                ep.links.idle = list(e.idle_since)
             elif isinstance(e, SetByHand):
                 self._set_by_hand(e)
+            elif isinstance(e, WarmUp):
+                self.warm_up = e.on
             elif isinstance(e, Carried) and (ep := self.endpoints.get(e.endpoint)):
                 self._learn(ep, e)
             elif isinstance(e, CallCarried):
@@ -222,7 +229,6 @@
             self.by_hand.remove(e.endpoint)
             if ep := self.endpoints.get(e.endpoint):  # it was restarted meanwhile, and is cold
                 self._base(ep)
-                ep.idle.clear()
                 ep.bad = ep.dirty = ep.c.bad = 0.0
                 ep.c.open, ep.c.trial, ep.c.gap, ep.c.tokens = False, None, 0, 1.0
                 ep.c.ramp_from = ep.c.stamp = self.now
@@ -231,7 +237,7 @@
     # Upgrades
 
     def _carriers(self, ep: Endpoint) -> dict[str, object]:
-        return {"ep": ep, "circuit": ep.c, "lane": ep.lane, "all": self}
+        return {"ep": ep, "circuit": ep.c, "lane": ep.lane, "links": ep.links, "all": self}
 
     def carry(self) -> list[tuple[int, dict[str, float]]]:
         """What was learned of each endpoint, for the process that takes over."""
@@ -243,7 +249,6 @@
             for name in CARRIED[part]:
                 now = getattr(owner, name)
                 setattr(owner, name, type(now)(e.figures.get(f"{part}.{name}", now)))
-        ep.idle = sorted(e.idle_since)
 
     def _call_carried(self, e: CallCarried) -> None:
         messages = [m for n in e.messages if (m := self.messages.get(n)) and not m.out]
@@ -290,7 +295,8 @@
         dest.kind = min(entry.kind, len(self.s.kinds) - 1)
         if not dest.lanes or self.s.kinds[dest.kind].routes_apart:
             dest.lanes.append(Lane(dest, Circuit() if self.thin else None))
-        ep = Endpoint(entry.endpoint, dest.lanes[-1], entry.zone)
+        links = Links(self.s.connection_idle_us, self.random)
+        ep = Endpoint(entry.endpoint, dest.lanes[-1], entry.zone, links)
         ep.lane.endpoints[ep.id] = self.endpoints[ep.id] = ep
         return ep
 
@@ -370,9 +376,9 @@
             ep.lane.out -= 1
             ep.lane.dest.out -= 1
             ep.out.pop(id(call), None)
-            if e.result in (Result.OK, Result.ERROR, Result.FULL):
-                ep.idle.append(self.now)
         m.out -= 1
+        if e.idle_us is not None:
+            call.idle_us = e.idle_us
         if e.report and not call.judged:
             self._reported(ep.lane, e.report)
         if e.retry_after_us:
@@ -449,6 +455,10 @@
             if self.reaped > 1 and self.new_lost < LOSSY:
                 self.keep = min(self.keep, int(REAP * max(call.idle_us, 2 * lane.mean)))
         if result is Result.OK:
+            if call.idle_us < 0:
+                ep.links.new_fulls = 0
+            else:
+                ep.reused_ok = now
             if call.idle_us > REAP * REAP * self.keep:
                 self.reaped, self.keep = 0, min(self.s.connection_idle_us, int(self.keep * REGROW))
             self._succeeded(ep, latency)
@@ -464,6 +474,9 @@
                 self._trip(ep, "shut")
                 return
             if now - ep.last_ok < FRESH_US:
+                others = not told and ep.reused_ok > call.sent_at - FRESH_US and self._room_left(lane)
+                if others and ep.links.refused(call.idle_us < 0):
+                    self._table_full(ep)
                 return
         elif result is Result.TIMEOUT:
             if ep.last_ok > call.sent_at:
@@ -473,10 +486,9 @@
                 self.loss += LOSS_MEMORY * (1 - self.loss)
                 return
             lane.window = max(1.0, lane.window / 2)
-        elif result is Result.CONNECT_FAILED:
-            ep.idle.clear()
-            if now - ep.last_ok < FRESH_US and ep.out:  # a full connection table, not a dead endpoint
-                return
+        elif result is Result.CONNECT_FAILED and now - ep.last_ok < FRESH_US and ep.out:
+            self._table_full(ep)  # and no dead endpoint
+            return
         if result in (Result.ERROR, Result.TIMEOUT, Result.RESET):
             ep.dirty, ep.dirty_at = self._dirt(ep) + MEMORY * (1 - self._dirt(ep)), now
         # Where many calls are lost anyway, one without an answer says little of its endpoint.
@@ -500,6 +512,18 @@
             self._base(ep)
             ep.c.open, ep.c.gap, ep.c.ramp_from = False, 0, now
 
+    def _room_left(self, lane: Lane) -> bool:
+        """Whether the limit is not used up, as far as answers tell it."""
+        told = dict(zip(self.s.report_fields, lane.report, strict=False))
+        return not lane.steered or told.get("x0", 0.0) > 0
+
+    def _table_full(self, ep: Endpoint) -> None:
+        """The endpoint serves, but takes no further connection: this courier keeps fewer there."""
+        held, pause = len(ep.out) + len(ep.links.idle), max(int(ep.lane.mean), 2 * self.s.tick_us)
+        if ep.links.full(self.now, held, pause):
+            self.actions.append(Log(f"endpoint {ep.id} takes no more connections: {ep.links.bound} kept"))
+            self._size(ep)
+
     def _succeeded(self, ep: Endpoint, latency: int) -> None:
         lane, now = ep.lane, self.now
         ep.last_ok = now
@@ -742,7 +766,7 @@
     def _rank(self, ep: Endpoint, m: Message) -> tuple:
         """Healthy first, then not the one that just failed, one with an idle connection, the cheap one."""
         fee = self.s.zone_fees[ep.zone] if ep.zone < len(self.s.zone_fees) else 0.0
-        warm = any(t > self.now - self.keep for t in ep.idle)
+        warm = any(t > self.now - self.keep for t in ep.links.idle)
         if self.thin:  # couriers that rank alike pile onto one endpoint or route: by chance, as the rates are
             fee = self.random.expovariate((ep.lane.listed or 1.0) * (1.05 - ep.lane.refused))
         quickest = min((x.mean for x in ep.lane.dest.lanes if x.mean), default=0.0)
@@ -763,12 +787,10 @@
     def _send(self, m: Message, ep: Endpoint) -> None:
         now, lane, call = self.now, ep.lane, self._call(ep, self.now)
         oldest = now - self.keep
-        if ep.idle:
-            if ep.idle[-1] > oldest:
-                call.idle_us = now - ep.idle[-1]
-            elif ep.idle[-1] > now - self.s.connection_idle_us:
-                self.actions.append(CloseIdle(ep.id))
-        ep.idle = [t for t in ep.idle if t > oldest][:-1]
+        if ep.links.idle and now - self.s.connection_idle_us < ep.links.idle[-1] <= oldest:
+            self.actions.append(CloseIdle(ep.id))
+        call.idle_us = ep.links.lend(now, oldest)
+        self._size(ep)
         if lane.rate:
             lane.tokens -= 1.0 + self.random.uniform(-self.spread, self.spread)
         if ep.c.open:
@@ -791,6 +813,17 @@
         ep.out[id(call)] = call
         return call
 
+    def _size(self, ep: Endpoint) -> None:
+        """Tell the pool how many connections the endpoint is worth; open the next where that is wanted."""
+        most = ep.links.most(self.now, ep.lane.hold, int(ep.lane.window))
+        if most != ep.links.told:
+            ep.links.told = most
+            self.actions.append(Keep(ep.id, most))
+        # Only to one that answers calls now: it can't show anything of the endpoint, so it is no probe.
+        well = not ep.c.open and ep.c.ramp_from < 0 and self.now - ep.last_ok < FRESH_US
+        if self.warm_up and well and not ep.links.idle and len(ep.out) < min(most, ep.links.bound):
+            self.actions.append(OpenIdle(ep.id))
+
     def _join(self, m: Message, call: Call, attempt: int) -> None:
         m.dest.queue.remove(m)
         self.calls[(m.id, attempt)] = (call, m)
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -218,6 +218,7 @@
     closed: bool = False
     retry_after_us: int = 0  # with FULL: the told wait, 0 if none was told
     report: tuple[float, ...] = ()  # the endpoint's, in the order of Settings.report_fields; () if none
+    idle_us: int | None = None  # how long its connection had been idle, -1 for a new one, None: not told
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,7 +274,22 @@
 
     endpoint: int
     figures: dict[str, float]
-    idle_since: tuple[int, ...] = ()  # its idle connections: when each came free
+
+
+@dataclass(frozen=True, slots=True)
+class Connections:
+    """The host's account of an endpoint's idle connections, the only one: when each came free, oldest first.
+    It replaces the one before, and comes first in its turn."""
+
+    endpoint: int
+    idle_since: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WarmUp:
+    """Whether connections may be opened before a message needs them, from now on."""
+
+    on: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,7 +302,7 @@
 
 
 Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | ProbeEnded | MessageGone
-         | TimerDue | Closing | PeerNote | SetByHand | Carried | CallCarried)
+         | TimerDue | Closing | PeerNote | SetByHand | Carried | CallCarried | Connections | WarmUp)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
@@ -345,6 +361,21 @@
     endpoint: int
 
 
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Keep at most so many idle connections to an endpoint from now on."""
+
+    endpoint: int
+    most: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenIdle:
+    """Open a connection to an endpoint before a message needs it; nothing is told of how that ends."""
+
+    endpoint: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendNote:
     """Send a note to a peer, or to all (peer None)."""
@@ -372,5 +403,5 @@
     """Ask for the whole list once."""
 
 
-Action = (Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | SendNote | Log | Subscribe
-          | FetchList)
+Action = (Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Keep | OpenIdle | SendNote | Log
+          | Subscribe | FetchList)
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -1,4 +1,4 @@
-"""Calls to endpoints: single, bundled and probes, over bounded keep-alive pools."""
+"""Calls to endpoints: single, bundled and probes, each over a connection that the pool lends."""
 
 from __future__ import annotations
 
@@ -9,16 +9,15 @@
 import math
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from hopmill.interface import Result
 from hopmill.net.config import Address
-from hopmill.net.http import LOCAL_ERRORS, Connection, Exchange
+from hopmill.net.http import LOCAL_ERRORS, Exchange
+from hopmill.net.pool import GIVEN_UP, Left, Link, Loan, Pool, carry_link
 from hopmill.net.upgrade import Cargo
 
-IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
-IDLE_EACH = 8  # idle connections kept to one endpoint
 TAIL_S = 1.0  # how long the rest of an answer whose status line has come is waited for
 MAX_ANSWER = 64 * 1024  # bytes of an answer's body: what is longer is no answer, and is not waited for
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
@@ -38,6 +37,7 @@
     timeout_us: int
     begun: bool = False  # its first byte may have been written
     ended: bool = False
+    idle_us: int = -1  # how long its connection had been idle before, -1 for a new one
 
 
 @dataclass(frozen=True)
@@ -61,13 +61,6 @@
     probed: Callable[[int, Result, int], None]
 
 
-@dataclass
-class Pool:
-    address: Address
-    idle: list[Connection] = field(default_factory=list)  # the most recently used last
-    timers: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
-
-
 def single_outcome(status: int, headers: dict[str, str]) -> Outcome:
     """PROTOCOL's table of answers."""
     result, over = Result.ERROR, False  # 500, or what the protocol does not name: it may have run
@@ -119,7 +112,8 @@
         self.path = path  # of a probe
         self.started = calls.loop.time()
         self.status, self.headers, self.body, self.received = 0, {}, bytearray(), 0
-        self.connection: Connection | None = None
+        self.connection: Link | None = None
+        self.loan: Loan | None = None
         longest = max((i.timeout_us for i in items), default=0)
         self.timers: list[asyncio.TimerHandle] = []
         self.deadline = self.started + longest / 1e6
@@ -147,6 +141,8 @@
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status, self.headers = status, headers
+        if self.connection is not None:
+            self.calls.pool.heard(self.connection)
         if wait := told_wait(headers):
             self.calls.hooks.told_wait(self.endpoint, wait)
         if self.path or status == 200 and len(self.items) > 1:  # a bundle's counts once it is whole
@@ -165,6 +161,8 @@
             self.body += data
 
     def lost(self, written: bool) -> None:
+        if self.connection is not None:
+            self.calls.pool.failed(self.connection)
         if self.path:
             self.calls.probe_ended(self, Result.RESET)
         self.finish_all(self.unread_outcome(Result.RESET if written else Result.CONNECT_FAILED))
@@ -179,6 +177,8 @@
     def timed_out(self) -> None:
         """The courier stops waiting: the connection goes too, or a late answer would meet the next call."""
         sent = self.connection is not None and self.connection.exchange is self and self.connection.written
+        if self.connection is not None:
+            self.calls.pool.failed(self.connection)
         if self.path:
             self.calls.probe_ended(self, Result.TIMEOUT)
         outcome = self.unread_outcome(Result.TIMEOUT) if sent else Outcome(Result.CONNECT_FAILED)
@@ -187,7 +187,7 @@
 
     def abandon(self) -> None:
         if self.connection is not None:
-            self.connection.close()
+            self.calls.pool.drop(self.connection, GIVEN_UP)
         self.calls.release(self)
 
     def finish_all(self, outcome: Outcome) -> None:
@@ -201,35 +201,13 @@
 
 
 class Calls:
-    """The calls out and the connections to all endpoints."""
+    """The calls out."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, hooks: Hooks, idle_us: int, connect_us: int,
-                 max_idle: int) -> None:
-        self.loop, self.hooks = loop, hooks
-        self.idle_s, self.connect_s, self.max_idle = idle_us * IDLE_SHARE / 1e6, connect_us / 1e6, max_idle
-        self.pools: dict[int, Pool] = {}
+    def __init__(self, loop: asyncio.AbstractEventLoop, hooks: Hooks, pool: Pool) -> None:
+        self.loop, self.hooks, self.pool = loop, hooks, pool
         self.out: set[Call] = set()
-        self.opened = self.reused = 0
-
-    def place(self, endpoint: int, address: Address) -> None:
-        """Where the endpoint is; one that moved gets new connections."""
-        pool = self.pools.get(endpoint)
-        if pool is None or pool.address != address:
-            self.close_idle(endpoint)
-            self.pools[endpoint] = Pool(address)
-
-    def forget(self, endpoint: int) -> None:
-        self.close_idle(endpoint)
-        self.pools.pop(endpoint, None)
-
-    def close_idle(self, endpoint: int) -> None:
-        if pool := self.pools.get(endpoint):
-            for connection in list(pool.idle):
-                connection.close()
 
     def close(self) -> None:
-        for endpoint in list(self.pools):
-            self.close_idle(endpoint)
         for call in list(self.out):
             call.abandon()
 
@@ -245,7 +223,7 @@
             received = connection.received if connection.written else None
             if received is not None:
                 items = [[i.number, i.timeout_us, i.ended] for i in call.items]
-                rows.append([call.endpoint, list(connection.address), cargo.place(connection.sock.fileno()),
+                rows.append([call.endpoint, list(connection.address), carry_link(cargo, connection),
                              call.started, items, received])
             # One that has begun and is not handed over may have run, unless its last byte was not written.
         return rows
@@ -255,19 +233,13 @@
         return [i.number for call in self.out if call.connection and not call.connection.written
                 for i in call.items if i.begun and not i.ended]
 
-    def carry_idle(self, cargo: Cargo, most: int) -> list[list[Any]]:
-        """The most recently used idle connections."""
-        idle = [(c.idle_at, e, c) for e, pool in self.pools.items() for c in pool.idle if not c.stale()]
-        idle.sort(key=lambda row: -row[0])
-        return [[e, list(c.address), cargo.place(c.sock.fileno()), at] for at, e, c in idle[:max(0, most)]]
-
-    def resume(self, endpoint: int, address: Address, sock: socket.socket, started: float, items: list[Item],
-               received: bytes) -> None:
+    def resume(self, endpoint: int, address: Address, sock: socket.socket, born: float, started: float,
+               items: list[Item], received: bytes) -> None:
         """Go on with a call of the process before this one."""
         call = Call(self, endpoint, items)
         call.started = started
         call.deadline = started + max(i.timeout_us for i in items) / 1e6
-        call.connection = Connection(self.loop, address, sock)
+        call.connection = self.pool.resume(endpoint, address, sock, born)
         self.out.add(call)
         for item in items:
             if not item.ended:
@@ -275,10 +247,6 @@
                 call.timer(left, lambda item=item: self._late(call, item))
         call.connection.resume(call, received)
 
-    def resume_idle(self, endpoint: int, address: Address, sock: socket.socket, since: float) -> None:
-        connection = Connection(self.loop, address, sock)
-        self._keep(endpoint, connection, since)
-
     # Starting
 
     def send(self, endpoint: int, items: list[Item]) -> None:
@@ -292,7 +260,7 @@
 
     def probe(self, endpoint: int, path: str = "/alive") -> None:
         call = Call(self, endpoint, [], path)
-        call.timer(self.connect_s, call.timed_out)
+        call.timer(self.pool.connect_s, call.timed_out)
         self._start(call)
 
     def cancel(self, number: int, attempt: int) -> None:
@@ -312,53 +280,31 @@
             call.finish(item, Outcome(Result.TIMEOUT if item.begun else Result.CONNECT_FAILED))
 
     def _start(self, call: Call) -> None:
-        pool = self.pools.get(call.endpoint)
-        if pool is None:
-            self._unsent(call, Result.MOOT)
-            return
         self.out.add(call)
-        while pool.idle:
-            connection = pool.idle.pop()
-            pool.timers.pop(connection).cancel()
-            if not connection.stale():
-                connection.on_close = lambda: None
-                self.reused += 1
-                self._write(call, connection)
-                return
-            connection.close()
-        try:
-            connection = Connection(self.loop, pool.address)
-        except OSError as error:
-            log.error("no socket for a call: %s", error)
+        loan = self.pool.lend(call.endpoint, lambda link, error: self._lent(call, link, error))
+        call.loan = loan if call in self.out else None  # it may have ended at once
+
+    def _lent(self, call: Call, link: Link | None, error: OSError | None) -> None:
+        if link is not None:
+            for item in call.items:
+                item.idle_us = link.idle_us
+            self._write(call, link)
+        elif isinstance(error, Left) or error is not None and error.errno in LOCAL_ERRORS:
             self._unsent(call, Result.MOOT)
-            return
-        self.opened += 1
-        call.connection = connection
-        call.timer(self.connect_s, lambda: call.timed_out() if connection.exchange is None
-                   and not call.status else None)
-        try:
-            connection.connect(lambda error: self._connected(call, connection, error))
-        except OSError as error:
-            connection.close()
-            self._unsent(call, Result.MOOT if error.errno in LOCAL_ERRORS else Result.CONNECT_FAILED)
-
-    def _connected(self, call: Call, connection: Connection, error: OSError | None) -> None:
-        if error is None:
-            self._write(call, connection)
-            return
-        self._unsent(call, Result.MOOT if error.errno in LOCAL_ERRORS else Result.CONNECT_FAILED)
+        else:
+            self._unsent(call, Result.CONNECT_FAILED)
 
-    def _write(self, call: Call, connection: Connection) -> None:
+    def _write(self, call: Call, connection: Link) -> None:
         call.connection = connection
         items = [i for i in call.items if not i.ended]
         call.items = items
         if not items and not call.path or not self.hooks.may_write(call.endpoint):
             self._unsent(call, Result.MOOT)
-            self._keep(call.endpoint, connection)
+            self.pool.take_back(connection)
             return
         if items and not self.hooks.begin(items):
             self._unsent(call, Result.MOOT)
-            self._keep(call.endpoint, connection)
+            self.pool.take_back(connection)
             return
         for item in items:
             item.begun = True
@@ -405,32 +351,13 @@
         self.out.discard(call)
         for timer in call.timers:
             timer.cancel()
+        if call.loan and call.connection is None:
+            self.pool.cancel(call.loan)
 
     def release(self, call: Call) -> None:
-        """The call is over; its connection, if still good, becomes idle."""
+        """The call is over; its connection, if still good, goes back."""
         if call not in self.out:
             return
         self._drop(call)
         if call.connection is not None:
-            self._keep(call.endpoint, call.connection)
-
-    def _keep(self, endpoint: int, connection: Connection, since: float = 0.0) -> None:
-        pool = self.pools.get(endpoint)
-        if connection.closed:
-            return
-        if pool is None or pool.address != connection.address or self.idle_s <= 0:
-            connection.close()
-            return
-        if len(pool.idle) >= IDLE_EACH or sum(len(p.idle) for p in self.pools.values()) >= self.max_idle:
-            connection.close()
-            return
-        pool.idle.append(connection)
-        connection.idle_at = since or self.loop.time()
-        pool.timers[connection] = self.loop.call_at(connection.idle_at + self.idle_s, connection.close)
-        connection.on_close = lambda: self._closed(pool, connection)
-
-    @staticmethod
-    def _closed(pool: Pool, connection: Connection) -> None:
-        if connection in pool.timers:
-            pool.timers.pop(connection).cancel()
-            pool.idle.remove(connection)
+            self.pool.take_back(call.connection)
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -20,6 +20,7 @@
 from hopmill.net.config import Address, Config, ConfigError, parse_address
 from hopmill.net.discovery import Notices, Watch
 from hopmill.net.operator import Door, Routes
+from hopmill.net.pool import ASKED, Pool
 from hopmill.net.resp import MAX_REQUEST
 from hopmill.net.state import Held, Journal
 from hopmill.net.upgrade import Cargo, Link, NotHandedOver, Owner, hand_over
@@ -78,8 +79,9 @@
         self.no_upgrade_until = 0.0
         self.leave: Callable[[], None] = lambda: os._exit(0)  # at once: what is open belongs to another now
         hooks = Hooks(self._may_write, self._begin, self._ended, self._told_wait, self._probed)
-        self.calls = Calls(loop, hooks, self.s.connection_idle_us, self.s.connect_timeout_us,
-                           int(config.sockets * IDLE_SHARE))
+        self.pool = Pool(loop, self.s.connection_idle_us, self.s.connect_timeout_us,
+                         int(config.sockets * IDLE_SHARE), self._wanted)
+        self.calls = Calls(loop, hooks, self.pool)
         places = min(config.sockets * CLIENT_SHARE, config.memory_bytes * MEMORY_SHARE / MAX_REQUEST)
         self.clients = ClientServer(self.put, max(8, int(places)))
         self.notices = Notices(loop, config.discovery, self._accepted)
@@ -88,6 +90,8 @@
         self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck),
                                 ("POST", "/healthcheck/fail", lambda: self._drain(True)),
                                 ("POST", "/healthcheck/ok", lambda: self._drain(False)),
+                                ("GET", "/connections", lambda: (200, self.pool.figures(self._uid))),
+                                ("GET", "/connections/*", self._connections),
                                 ("POST", "/endpoints/*/maint", lambda uid: self._set_by_hand(uid, True)),
                                 ("POST", "/endpoints/*/ready", lambda uid: self._set_by_hand(uid, False))),
                          config.sockets)
@@ -184,36 +188,41 @@
             learned=self.courier.carry(), calls=self.calls.carry(cargo), unwritten=self.calls.unwritten(),
             door=self.door.carry(cargo), moved=self.moved_to)
         cargo.values["clients"] = self.clients.carry(cargo, max(1, room - len(cargo.fds)))
-        cargo.values["idle"] = self.calls.carry_idle(cargo, room - len(cargo.fds))
+        cargo.values["idle"] = self.pool.carry_idle(cargo, room - len(cargo.fds))
         return cargo
 
     def _resume(self, carried: dict[str, Any]) -> None:
-        """The first turn after an upgrade: the module hears what was learned and which calls are out."""
+        """The first turn after an upgrade: the module hears what was learned and which calls are out. What it
+        sends then may go over the idle connections, so these have their owner before."""
         self.waits = {(dest, route): until for dest, route, until in carried["waits"]}
-        idle: dict[int, list[int]] = {}
-        for endpoint, _, _, since in carried["idle"]:
-            idle.setdefault(endpoint, []).append(int(since * 1e6))
-        self.events += [i.Carried(endpoint, figures, tuple(idle.get(endpoint, ())))
-                        for endpoint, figures in carried["learned"]]
+        self.pool.resume_idle([
+            (endpoint, tuple(address), self._carried_sock(place), since, self._born(place, since))
+            for endpoint, address, place, since, *_ in carried.get("idle", ())])
+        self.events += [i.Carried(endpoint, figures) for endpoint, figures in carried["learned"]]
         for number in carried["unwritten"]:
             self._note(self.journal.missed, number)
         calls = [(endpoint, int(started * 1e6), tuple(n for n, _, ended in items if not ended))
-                 for endpoint, _, _, started, items, _ in carried["calls"]]
+                 for endpoint, _, _, started, items, *_ in carried["calls"]]
         self._restore({number for _, _, numbers in calls for number in numbers})
         self.events += [i.CallCarried(*call) for call in calls]
         self.turn()
 
-    def _resume_connections(self, carried: dict[str, Any]) -> None:
-        def sock(place: int) -> socket.socket:
-            return socket.socket(fileno=self.cargo.fds[place])
+    def _carried_sock(self, place: int) -> socket.socket:
+        return socket.socket(fileno=self.cargo.fds[place])
+
+    def _born(self, place: int, since: float) -> float:
+        """When a connection was opened, wall clock; the version before told only when it was in use."""
+        told = self.cargo.values.get("born", {}).get(place)
+        return told if told is not None else time.time() - (self.loop.time() - since)
 
+    def _resume_connections(self, carried: dict[str, Any]) -> None:
+        sock = self._carried_sock
         if carried["moved"]:
             self.move_discovery((carried["moved"][0], carried["moved"][1]))
-        for endpoint, address, place, started, rows, received in carried["calls"]:
+        for endpoint, address, place, started, rows, received, *_ in carried["calls"]:
             items = [self._carried_item(*row) for row in rows]
-            self.calls.resume(endpoint, tuple(address), sock(place), started, items, received)
-        for endpoint, address, place, since in carried["idle"]:
-            self.calls.resume_idle(endpoint, tuple(address), sock(place), since)
+            self.calls.resume(endpoint, tuple(address), sock(place), self._born(place, started), started,
+                              items, received)
         for place, *rest in carried["clients"]:
             self.clients.resume(sock(place), *rest)
         door = carried["door"]
@@ -257,7 +266,9 @@
     def turn(self) -> None:
         self.scheduled = False
         self.last_turn = now = self.clock()
-        events, self.events = self.events, []
+        events: list[i.Event] = [i.Connections(*news) for news in self.pool.news()]
+        events += self.events
+        self.events = []
         arrived, self.arrived = self.arrived, {}
         self.arriving.clear()
         try:
@@ -290,7 +301,11 @@
             elif isinstance(a, i.SetTimer):
                 self.loop.call_later(a.delay_us / 1e6 + 5e-5, self.tell, i.TimerDue(a.token))
             elif isinstance(a, i.CloseIdle):
-                self.calls.close_idle(a.endpoint)
+                self.pool.close_idle(a.endpoint, ASKED)
+            elif isinstance(a, i.Keep):
+                self.pool.keep(a.endpoint, a.most)
+            elif isinstance(a, i.OpenIdle):
+                self.pool.warm(a.endpoint)
             elif isinstance(a, i.Cancel):
                 self.calls.cancel(a.message, a.attempt)
             elif isinstance(a, i.Probe):
@@ -460,12 +475,15 @@
         key = self._wait_key(endpoint)
         self.waits[key] = max(self.waits.get(key, 0), self.clock() + wait_us)
 
-    def _may_write(self, endpoint: int) -> bool:
-        """News that came while a connection was being made holds for the call that waits for it."""
+    def _wanted(self, endpoint: int) -> bool:
+        """Neither draining, nor gone, nor out by hand: it may get calls, and connections for them."""
         entry = self.entries.get(endpoint)
         ready = entry is not None and entry.state is i.EndpointState.READY
-        ready = ready and endpoint not in self.courier.by_hand
-        return ready and self.waits.get(self._wait_key(endpoint), 0) <= self.clock()
+        return ready and endpoint not in self.courier.by_hand
+
+    def _may_write(self, endpoint: int) -> bool:
+        """News that came while a connection was being made holds for the call that waits for it."""
+        return self._wanted(endpoint) and self.waits.get(self._wait_key(endpoint), 0) <= self.clock()
 
     def _begin(self, items: list[Item]) -> bool:
         if any(n.number not in self.journal.held for n in items):
@@ -490,7 +508,7 @@
         named = dict(outcome.report)
         report = tuple(named.get(name, 0.0) for name in self.s.report_fields) if named else ()
         self.tell(i.AttemptEnded(item.number, item.attempt, endpoint, outcome.result, max(1, latency), over,
-                                 outcome.wait_us, report))
+                                 outcome.wait_us, report, item.idle_us))
         self._maybe_exit()
 
     def _probed(self, endpoint: int, result: i.Result, latency: int) -> None:
@@ -503,13 +521,13 @@
         entries = []
         for target in change.get("targets", []):
             try:
-                entry, address = self._entry(target)
+                entry, address, boot_ms = self._entry(target)
             except (KeyError, TypeError, ValueError, OverflowError, ConfigError) as error:
                 log.error("discovery: an entry that can't be read: %r", error)
                 continue
             entries.append(entry)
             self.entries[entry.endpoint], self.targets[entry.endpoint] = entry, target
-            self.calls.place(entry.endpoint, address)
+            self.pool.place(entry.endpoint, address, boot_ms)
         if form is not i.ListForm.DELTA:
             named = {e.endpoint for e in entries}
             for number in [n for n in self.entries if n not in named]:
@@ -518,15 +536,15 @@
             if entry.state is i.EndpointState.GONE:
                 self._gone(entry.endpoint)
             elif entry.state is i.EndpointState.DRAINING:
-                self.calls.close_idle(entry.endpoint)
+                self.pool.close_idle(entry.endpoint)
         self.tell(i.EndpointsListed(form, tuple(entries)))
 
     def _gone(self, endpoint: int) -> None:
         self.entries.pop(endpoint, None)
         self.targets.pop(endpoint, None)
-        self.calls.forget(endpoint)
+        self.pool.forget(endpoint)
 
-    def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, tuple[str, int]]:
+    def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, Address, float]:
         number = self._number(str(target["uid"]))
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
         rate = float(target.get("capacity_hint") or 0.0)
@@ -535,7 +553,10 @@
         entry = i.ListEntry(number, int(target["pod_group"]), STATES[target["state"]], rate, kind, zone)
         address = parse_address(target["endpoint"], "endpoint")
         ipaddress.ip_address(address[0])  # a name would be looked up, and block the loop
-        return entry, address
+        boot_ms = float(target.get("boot_ms") or 0.0)
+        if not math.isfinite(boot_ms):
+            raise ValueError("boot_ms")
+        return entry, address, boot_ms
 
     def _number(self, uid: str) -> int:
         return self.uids.setdefault(uid, len(self.uids) + 1)
@@ -575,6 +596,16 @@
             self.turn()
         return 200, {"endpoint": uid, "out_by_hand": out}
 
+    def _uid(self, number: int) -> str:
+        target = self.targets.get(number)
+        return str(target["uid"]) if target else f"#{number}"
+
+    def _connections(self, uid: str) -> tuple[int, dict[str, Any]]:
+        place = self.pool.places.get(self.uids.get(uid, -1))
+        if place is None:
+            return 404, {"error": "no such endpoint is listed"}
+        return 200, {"endpoint": uid, **place.figures()}
+
     # The end
 
     def terminate(self) -> None:
@@ -609,6 +640,7 @@
         self.watch.stop()
         self.notices.stop()
         self.calls.close()
+        self.pool.close()
         self.clients.stop_listening()
         self.door.close()
         if self.link:
--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -52,8 +52,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.exchange: Exchange | None = None
         self.on_close: Callable[[], None] = lambda: None
-        self.closed = False
-        self.idle_at = 0.0  # since when nothing was asked of it
+        self.closed = self.broke = False  # broke: with an exchange on it
         self._out, self._sent, self._in = b"", 0, bytearray()
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = sock or socket.socket(family, socket.SOCK_STREAM)  # OSError: see LOCAL_ERRORS
@@ -199,7 +198,7 @@
         """End the connection; its exchange hears no more."""
         if self.closed:
             return
-        self.closed, self.exchange = True, None
+        self.closed, self.broke, self.exchange = True, self.exchange is not None, None
         self.loop.remove_reader(self.sock)
         self.loop.remove_writer(self.sock)
         self.sock.close()
--- a/hopmill/wire.py
+++ b/hopmill/wire.py
@@ -242,8 +242,9 @@
             self._add("BII", 9, *self._place(a.text.encode()))
         elif isinstance(a, i.Subscribe):
             self._add("BB", 11, int(a.on))
-        else:
+        elif isinstance(a, i.FetchList):
             self._add("B", 12)
+        # Keep and OpenIdle: the simulator opens and keeps connections by itself.
 
     def pack(self, sequence: int) -> bytes:
         body = b"".join(self.records) + bytes(self.tail)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -51,6 +51,14 @@
     return await asyncio.wait_for(awaitable, LIMIT)
 
 
+async def until(condition):
+    """Wait for it, a bounded time."""
+    async def poll():
+        while not condition():
+            await asyncio.sleep(0.005)
+    await bounded(poll())
+
+
 class Server:
     """A TCP server on a free port; `serve` handles one connection."""
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -23,6 +23,7 @@
     SetByHand,
     Settings,
 )
+from hopmill.simhost import Connected
 
 S = 1_000_000
 CLASSES = (
@@ -39,14 +40,15 @@
         given = {"classes": CLASSES, "slots": 8, "max_held": 100, "max_attempts": 12, "kinds": (Kind("k"),),
                  "rates_listed": rate > 0, "max_retry_after_us": 2 * S, "tick_us": 5000}
         given.update(changes)
-        self.courier = Courier(Settings(**given), 7)
+        self.connected = Connected(Settings(**given), 7)  # it tells the module of connections
+        self.courier = self.connected.courier
         self.now, self.next, self.tries = 1000 * S, 0, {}
         self.do(EndpointsListed(ListForm.CACHED, tuple(
             ListEntry(100 + n, 1, EndpointState.READY, rate) for n in range(endpoints))))
 
     def do(self, *events, after=0):
         self.now += after
-        acts = self.courier.handle(self.now, list(events))
+        acts = self.connected.handle(self.now, list(events))
         for a in acts:
             if isinstance(a, Send):
                 self.tries[a.message] = self.tries.get(a.message, -1) + 1
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -10,6 +10,7 @@
 from hopmill.interface import Result
 from hopmill.net import calls as c
 from hopmill.net.http import Connection, Exchange
+from hopmill.net.pool import Pool
 
 
 class Outcomes:
@@ -17,11 +18,13 @@
 
     def __init__(self, **changes):
         self.ended, self.waits, self.probes, self.begun = asyncio.Queue(), [], asyncio.Queue(), []
-        self.allowed = True
+        self.allowed = self.wanted = True
         hooks = c.Hooks(lambda e: self.allowed, self.begin, self.end, lambda e, w: self.waits.append(w),
                         lambda e, r, latency: self.probes.put_nowait(r))
         given = {"idle_us": 10_000_000, "connect_us": 1_000_000, "max_idle": 20, **changes}
-        self.calls = c.Calls(asyncio.get_running_loop(), hooks, **given)
+        loop = asyncio.get_running_loop()
+        self.pool = Pool(loop, wanted=lambda e: self.wanted, **given)
+        self.calls = c.Calls(loop, hooks, self.pool)
 
     def begin(self, items):
         self.begun += [i.id for i in items]
@@ -31,7 +34,7 @@
         self.ended.put_nowait((item.id, outcome))
 
     async def send(self, port, *ids, timeout_us=5_000_000, body=b"x"):
-        self.calls.place(1, ("127.0.0.1", port))
+        self.pool.place(1, ("127.0.0.1", port))
         items = [c.Item(n, 0, i, "k" + i, body, timeout_us) for n, i in enumerate(ids)]
         self.calls.send(1, items)
         return [await bounded(self.ended.get()) for _ in ids]
@@ -234,7 +237,7 @@
         o = Outcomes(idle_us=100_000)
         await o.send(endpoint.port, "a")
         await bounded(endpoint.ended.get())  # this side ended it
-        assert not o.calls.pools[1].idle
+        assert not o.pool.idle
         await endpoint.stop()
     asyncio.run(run())
 
@@ -278,7 +281,7 @@
     async def run():
         endpoint = await Endpoint(answer(200), answer(503), "reset").start()
         o = Outcomes()
-        o.calls.place(1, ("127.0.0.1", endpoint.port))
+        o.pool.place(1, ("127.0.0.1", endpoint.port))
         for wanted in (Result.OK, Result.FULL, Result.RESET):
             o.calls.probe(1)
             assert await bounded(o.probes.get()) is wanted
@@ -311,7 +314,7 @@
         end.set()
         ended.wait(10)  # holds the loop: nothing tells it of the end
         assert (await o.send(port, "b"))[0][1].result is Result.OK
-        assert o.calls.opened == 2
+        assert o.pool.places[1].opened == 2
         o.calls.close()
         thread.join()
         listener.close()
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -64,7 +64,7 @@
     while a.calls.qsize() + b.calls.qsize() < 12:
         await asyncio.sleep(0.01)
     assert a.calls.qsize() == before
-    assert not fleet.host.calls.pools[fleet.host.uids["a"]].idle
+    assert not fleet.host.pool.places[fleet.host.uids["a"]].idle
     fleet.discovery.change("b", state="terminated")
     while fleet.host.uids["b"] in fleet.host.entries:
         await asyncio.sleep(0.01)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,8 +7,8 @@
 
 from hopmill.brain import Courier
 from hopmill.interface import (
-    AttemptEnded, CloseIdle, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm, MessageArrived,
-    Refuse, Result, Send, Settings)
+    AttemptEnded, CloseIdle, Connections, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm,
+    MessageArrived, Refuse, Result, Send, Settings)
 from hopmill.net.discovery import Backoff
 
 
@@ -35,7 +35,8 @@
     h = Host()
 
     def call(idle, result):
-        h.courier.endpoints[100].idle = [h.now - idle]
+        h.connected.idle[100] = [h.now - idle]
+        h.do(Connections(100, (h.now - idle,)))
         c = h.courier.endpoints[100].c
         c.open, c.ramp_from, c.trial, c.bad, h.courier.endpoints[100].dirty = False, -1, None, 0.0, 0.0
         acts = h.arrive(cls=2)  # unsafe: tried once
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,229 @@
+"""How many connections an endpoint is worth: the arithmetic, and the decisions of one courier and of many."""
+
+import random
+
+import pytest
+from test_brain import CLASSES, Host, S, of
+
+from hopmill.brain import Courier
+from hopmill.interface import (
+    AttemptEnded, Carried, CloseIdle, Connections, EndpointsListed, EndpointState, Keep, ListEntry, ListForm,
+    MessageArrived, OpenIdle, Result, Send, Settings, WarmUp)
+from hopmill.links import Links
+
+IDLE = 10 * S
+
+
+def steady(per_s, seconds=60):
+    links = Links(IDLE, random.Random(1))
+    for n in range(int(per_s * seconds)):
+        links.lend(int(n * S / per_s), 0)
+    return links, seconds * S
+
+
+@pytest.mark.parametrize(("per_s", "hold_us", "most"), [
+    (0.2, 400_000, 1),  # one call in 5 s: a courier of hundreds
+    (4, 400_000, 5),  # 1.6 at once in the mean
+    (20, 400_000, 14),
+    (20, 20_000, 2),  # quick ones follow each other over few
+])
+def test_what_is_kept_follows_from_calls_a_second_times_the_time_that_each_takes(per_s, hold_us, most):
+    links, now = steady(per_s)
+    assert links.most(now, hold_us, 100) == most
+    assert links.most(now, hold_us, 3) == min(most, 3)  # more could not be used
+
+
+def test_the_first_calls_count_in_full():
+    # A fading count alone would take 10 s until it knew of a busy endpoint.
+    links = Links(IDLE, random.Random(1))
+    for n in range(20):
+        links.lend(n * 50_000, 0)
+    assert links.at_once(S, 400_000) == pytest.approx(8, rel=0.1)
+
+
+def test_what_is_not_called_any_more_needs_less():
+    links, now = steady(20)
+    assert links.most(now + 3 * IDLE, 400_000, 100) < 5
+
+
+def test_a_full_table_halves_what_is_kept_once_a_round_trip_and_it_comes_back_with_jitter():
+    back = []
+    for seed in range(40):
+        links = Links(IDLE, random.Random(seed))
+        now = 100 * S
+        assert links.full(now, 8, 400_000) and links.part == 4
+        assert not links.full(now + 1, 8, 400_000)  # the same round
+        assert links.full(now + 500_000, 4, 400_000) and links.part == 2
+        while links.most(now, 400_000, 100) < 6:  # it needs 14 at 20 calls a second
+            assert now < 300 * S
+            now += 50_000
+            links.lend(now, 0)
+        back.append(now)
+    assert min(back) > 112 * S and max(back) - min(back) > 5 * S  # gradually, and not in step
+
+
+def test_below_one_each_a_chance_decides_which_couriers_keep_one():
+    kept = 0
+    for seed in range(400):
+        links = Links(IDLE, random.Random(seed))
+        links.full(S, 1, 0)
+        kept += links.most(S, 400_000, 10)
+    assert 160 < kept < 240
+
+
+def busy(h, calls=4):
+    """So many calls out at once, the first over a reused connection."""
+    h.courier.endpoints[100].lane.window = 8.0
+    h.arrive()
+    h.end(1, Result.OK, after=20_000)
+    for _ in range(calls):
+        h.arrive(after=1_000)
+
+
+def keeps(acts):
+    return [a.most for a in of(Keep, acts)]
+
+
+def ended(h, message, result, idle_us, told=0, report=()):
+    over = result is Result.OK
+    return h.do(AttemptEnded(message, h.tries[message], 100, result, 20_000, over, told, report, idle_us),
+                after=20_000)
+
+
+def test_connects_refused_beside_answers_lower_what_is_kept_and_open_no_circuit():
+    h = Host()
+    busy(h)
+    ended(h, 2, Result.OK, 1000)
+    acts = ended(h, 3, Result.CONNECT_FAILED, -1)
+    links = h.courier.endpoints[100].links
+    assert links.part < 4 and not h.courier.endpoints[100].c.open and not h.courier.endpoints[100].bad
+    assert any("takes no more connections" in a.text for a in acts if hasattr(a, "text"))
+
+
+def test_a_dead_endpoint_is_no_full_table():
+    h = Host()
+    h.arrive()
+    h.end(1, Result.CONNECT_FAILED)
+    assert h.courier.endpoints[100].links.part == float("inf") and h.courier.endpoints[100].bad > 0
+
+
+@pytest.mark.parametrize(("idle_us", "report", "told", "cut"), [
+    (-1, (), 0, True),
+    (5000, (), 0, False),  # reused ones are refused too: its queue is full
+    (-1, (0.4, 20.0), 0, True),
+    (-1, (0.0, 20.0), 0, False),  # the limit is used up
+    (-1, (), 300_000, False),  # and told as a wait
+])
+def test_refusals_of_new_connections_alone_are_told_from_a_limit_and_a_queue(idle_us, report, told, cut):
+    h = Host(report_fields=("x0", "x1"))
+    busy(h, 7)
+    ended(h, 2, Result.OK, 1000)
+    assert h.courier.endpoints[100].links.part == float("inf")
+    for message in (3, 4):
+        ended(h, message, Result.FULL, idle_us, told, report)
+        ended(h, message + 3, Result.OK, 1000, report=report)
+    assert (h.courier.endpoints[100].links.part < 8) is cut
+
+
+def served_by_a_table_for(room):
+    """Hand-made events: forty couriers, each with four messages at once every second, and an endpoint that
+    turns away each connection over its table; what is idle counts. Returns how many messages each had
+    delivered in the last 30 of 60 s, and how many calls were turned away."""
+    couriers, now, ident, refused, served = 40, 1000 * S, 0, 0, [0] * 40
+    given = dict(classes=CLASSES, slots=8, max_held=50, couriers=couriers)
+    all_ = [Courier(Settings(me=k, **given), k) for k in range(couriers)]
+    idle, keep = [[] for _ in all_], [1] * couriers
+
+    def act(k, events):
+        actions = all_[k].handle(now, [Connections(100, tuple(idle[k])), *events])
+        keep[k] = ([a.most for a in of(Keep, actions)] or [keep[k]])[-1]
+        return [a.message for a in of(Send, actions)]
+
+    for k in range(couriers):
+        act(k, [EndpointsListed(ListForm.CACHED, (ListEntry(100, 1, EndpointState.READY),))])
+    for burst in range(60 * couriers):
+        k = burst % couriers
+        now += S // couriers
+        ident += 4
+        sent = act(k, [MessageArrived(ident + n, 0, 1, now + 5 * S) for n in range(4)])
+        while sent:
+            ends, back = [], []
+            for message in sent:
+                reused = bool(idle[k])
+                if reused:
+                    idle[k].pop()
+                full = not reused and sum(map(len, idle)) + len(back) >= room
+                refused += full and burst >= 30 * couriers
+                back += [] if full else [now + 50_000]
+                served[k] += not full and burst >= 30 * couriers
+                attempt = max(t for m, t in all_[k].calls if m == message)
+                ends.append(AttemptEnded(message, attempt, 100, Result.FULL if full else Result.OK, 50_000,
+                                         not full, 0, (), 1000 if reused else -1))
+            now += 1000
+            idle[k] = (idle[k] + back)[-keep[k]:] if keep[k] else []
+            sent = act(k, ends)
+    return served, refused
+
+
+@pytest.mark.parametrize("room", [20, 30, 40])
+def test_forty_couriers_come_to_share_a_full_table(room, monkeypatch):
+    # Without it those that came first kept all of it, idle most of the time, and the others got nothing.
+    served, refused = served_by_a_table_for(room)
+    monkeypatch.setattr(Links, "full", lambda *args: False)
+    before, _ = served_by_a_table_for(room)
+    assert sum(served) > 1.5 * sum(before) and min(served) > min(before)
+    assert refused < 30 * 40  # it comes back gradually: less than one a second for each courier
+
+
+def much(h):
+    """Calls that make several at once likely; the last is out."""
+    for _ in range(30):
+        h.arrive()
+        h.end(h.next, Result.OK, latency=400_000, after=20_000)
+    return h.arrive(after=1_000)
+
+
+def test_nothing_is_opened_early_unless_it_is_switched_on():
+    for on in (False, True):
+        h = Host()
+        if on:
+            h.do(WarmUp(True))
+        assert not of(OpenIdle, h.arrive())  # nothing is known of it yet: a connect would be a probe
+        h.end(1, Result.OK, after=20_000)
+        assert bool(of(OpenIdle, much(h))) is on
+
+
+@pytest.mark.parametrize("trouble", ["open", "cold", "silent", "drain", "kept"])
+def test_nothing_is_opened_early_to_one_that_is_not_well(trouble):
+    h = Host()
+    h.do(WarmUp(True))
+    ep = h.courier.endpoints[100]
+    assert of(OpenIdle, much(h))
+    if trouble == "open":
+        ep.c.open = True
+    elif trouble == "cold":
+        ep.c.ramp_from = h.now
+    elif trouble == "silent":
+        ep.last_ok -= 2 * S
+    elif trouble == "drain":
+        ep.state = EndpointState.DRAINING
+    elif trouble == "kept":
+        ep.links.part = ep.links.bound = 0.0
+        ep.links.grow_at = h.now + 100 * S
+    assert not of(OpenIdle, h.arrive(after=1_000))
+
+
+def test_a_connection_too_old_to_be_trusted_is_closed_before_a_call():
+    h = Host()
+    h.courier.keep = 4 * S
+    acts = h.do(Connections(100, (h.now - 6 * S,)), MessageArrived(99, 0, 1, h.now + 5 * S))
+    assert of(CloseIdle, acts)
+    assert next(iter(h.courier.calls.values()))[0].idle_us == -1
+
+
+def test_what_was_learned_of_a_full_table_passes_over_an_upgrade():
+    h, new = Host(), Host()
+    h.courier.endpoints[100].links.full(h.now, 4, 0)
+    (_, figures), = h.courier.carry()
+    new.do(Carried(100, figures))
+    assert new.courier.endpoints[100].links.part == 2
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from loopback import DOOR, Client, bounded, courier
+from loopback import DOOR, Client, bounded, courier, until
 
 from hopmill.net.state import Journal
 
@@ -155,7 +155,7 @@
     assert await out(fleet, "nobody") == 404 and await out(fleet, "nobody", "ready") == 404
     assert (await call(fleet.door, "GET", "/endpoints/a/maint"))[0] == 405
     assert (await call(fleet.door, "GET", "/healthcheck"))[1]["out_by_hand"] == ["a"]
-    assert not fleet.host.calls.pools[fleet.host.uids["a"]].idle
+    assert not fleet.host.pool.places[fleet.host.uids["a"]].idle
     before = a.calls.qsize()
     for state in ("terminated", "in_service"):  # it goes and is listed again
         fleet.discovery.change("a", state=state)
@@ -181,14 +181,14 @@
     begun = []
     fleet.host.calls.hooks.begin = lambda items: begun.append(items) or True
     waiting = []
-    fleet.host.calls._connected = lambda *args: waiting.append(args)
+    fleet.host.pool._up = lambda *args: waiting.append(args)
     await client.put("m")
-    while not waiting:
-        await asyncio.sleep(0)
+    await until(lambda: waiting)
     assert await out(fleet, "a") == 200
-    del fleet.host.calls._connected
-    fleet.host.calls._connected(*waiting[0])
+    del fleet.host.pool._up
+    fleet.host.pool._up(*waiting[0])
     assert not begun and e.calls.empty()
+    assert waiting[0][1].closed  # nor is it kept there
 
 
 @courier
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,488 @@
+"""The connections' one owner, over loopback sockets. Each test names the hard case that it guards."""
+
+import asyncio
+import errno
+import os
+import socket
+import threading
+import time
+
+import pytest
+from loopback import Endpoint, Fleet, answer, bounded, courier, free_port, until
+from test_calls import Outcomes
+from test_operator import call as at_door
+
+from hopmill.interface import Result
+from hopmill.net import pool as p
+from hopmill.net.upgrade import Cargo
+
+
+def run(test):
+    """Runs a test with one endpoint and calls to it."""
+    def inner():
+        async def go():
+            endpoint, o = await Endpoint().start(), Outcomes()
+            await test(endpoint, o)
+            o.calls.close()
+            o.pool.close()
+            await endpoint.stop()
+        asyncio.run(go())
+    return inner
+
+
+def open_files():
+    return len(os.listdir("/proc/self/fd"))
+
+
+async def lent(o, endpoint):
+    """A connection that the pool lends; the endpoint is asked nothing."""
+    got = asyncio.get_running_loop().create_future()
+    o.pool.place(1, ("127.0.0.1", endpoint.port))
+    o.pool.lend(1, lambda link, error: got.set_result(link or error))
+    return await bounded(got)
+
+
+async def idle(o, endpoint, count):
+    """So many idle ones, the first the longest idle."""
+    links = [await lent(o, endpoint) for _ in range(count)]
+    o.pool.keep(1, count)
+    for link in links:
+        o.pool.take_back(link)
+    return links
+
+
+def silent(o):
+    """Nothing was heard of the endpoint for longer than a connect may take."""
+    o.pool.places[1].heard_at -= o.pool.connect_s + 1
+
+
+@run
+async def test_the_most_recently_used_goes_first_and_surplus_ages(endpoint, o):
+    links = await idle(o, endpoint, 3)
+    for _ in range(4):
+        link = await lent(o, endpoint)
+        assert link is links[-1]
+        o.pool.take_back(link)
+    assert list(o.pool.idle) == links
+
+
+def test_the_longest_idle_of_any_endpoint_makes_room():
+    # The newest was thrown away, whatever it was worth, and each call looked at every pool.
+    async def go():
+        endpoints = [await Endpoint().start() for _ in range(3)]
+        o = Outcomes(max_idle=2)
+        for n, e in enumerate(endpoints):
+            o.pool.place(n, ("127.0.0.1", e.port))
+            got = asyncio.get_running_loop().create_future()
+            o.pool.lend(n, lambda link, error, got=got: got.set_result(link))
+            o.pool.take_back(await bounded(got))
+        assert [len(o.pool.places[n].idle) for n in range(3)] == [0, 1, 1]
+        assert o.pool.places[0].closed == {p.ROOM: 1}
+        o.pool.close()
+        for e in endpoints:
+            await e.stop()
+    asyncio.run(go())
+
+
+@run
+async def test_over_the_endpoints_number_the_longest_idle_closes(endpoint, o):
+    links = await idle(o, endpoint, 4)
+    o.pool.keep(1, 2)
+    assert list(o.pool.places[1].idle) == links[2:]
+    o.pool.keep(1, 0)
+    assert not o.pool.idle and o.pool.places[1].closed == {p.SURPLUS: 4}
+    link = await lent(o, endpoint)
+    o.pool.take_back(link)
+    assert link.closed  # none is kept where the table is full
+
+
+def test_one_timer_ages_them_in_order():
+    async def go():
+        endpoint, o = await Endpoint().start(), Outcomes(idle_us=200_000)
+        links = await idle(o, endpoint, 2)
+        await until(lambda: links[0].closed and links[1].closed)
+        assert o.pool.places[1].closed == {p.AGED: 2} and o.pool.aging is None
+        await endpoint.stop()
+    asyncio.run(go())
+
+
+@run
+async def test_all_dead_at_once_costs_one_attempt_between_them(endpoint, o):
+    # The machine vanished and came back without a word: what is written to an old connection is reset.
+    links = await idle(o, endpoint, 3)
+    silent(o)
+    first = await lent(o, endpoint)
+    assert first is links[-1]
+    second, third = await lent(o, endpoint), await lent(o, endpoint)
+    assert not {second, third} & set(links)  # while the first is not answered the others go over new ones
+    o.pool.failed(first)
+    first.close()
+    assert all(link.closed for link in links) and o.pool.places[1].closed[p.DOUBTED] == 2
+
+
+@run
+async def test_an_answer_makes_the_older_ones_trusted_again(endpoint, o):
+    links = await idle(o, endpoint, 3)
+    silent(o)
+    first = await lent(o, endpoint)
+    o.pool.heard(first)
+    assert await lent(o, endpoint) is links[1]
+    o.pool.failed(first)  # others were heard since: this one alone was lost
+    assert not links[0].closed
+
+
+@run
+async def test_an_answer_on_a_younger_connection_does_not_speak_for_older_ones(endpoint, o):
+    # The process that answers it may have started after these went idle.
+    links = await idle(o, endpoint, 2)
+    silent(o)
+    await asyncio.sleep(0.01)  # it is born after they came free
+    young = await lent(o, endpoint), await lent(o, endpoint)
+    assert young[0] is links[1] and young[1] not in links
+    o.pool.heard(young[1])
+    third = await lent(o, endpoint)
+    assert third not in links
+
+
+@run
+async def test_a_call_lost_on_a_dead_connection_takes_the_older_ones_along(endpoint, o):
+    endpoint.script += [answer(200)] * 2 + ["hang"]
+    o.pool.keep(1, 4)
+    gate = endpoint.release = asyncio.Event()
+    sends = [asyncio.ensure_future(o.send(endpoint.port, i)) for i in "ab"]
+    await until(lambda: endpoint.calls.qsize() == 2)
+    o.pool.keep(1, 4)
+    gate.set()
+    await bounded(asyncio.gather(*sends))
+    assert len(o.pool.idle) == 2
+    assert (await o.send(endpoint.port, "c", timeout_us=100_000))[0][1].result is Result.TIMEOUT
+    assert not o.pool.idle and o.pool.places[1].closed == {p.GIVEN_UP: 1, p.DOUBTED: 1}
+    assert (await o.send(endpoint.port, "d"))[0][1].result is Result.OK and endpoint.accepted == 3
+
+
+@run
+async def test_those_from_before_the_endpoint_started_again_are_dropped(endpoint, o):
+    links = await idle(o, endpoint, 2)
+    busy = await lent(o, endpoint)
+    o.pool.place(1, ("127.0.0.1", endpoint.port), (time.time() - 60) * 1e3)
+    assert not links[0].closed  # it started long before
+    o.pool.place(1, ("127.0.0.1", endpoint.port), (time.time() + 1) * 1e3)
+    assert links[0].closed and o.pool.places[1].closed == {p.RESTARTED: 1}
+    o.pool.take_back(busy)
+    assert busy.closed
+
+
+@run
+async def test_nothing_is_kept_for_an_endpoint_that_may_get_no_calls(endpoint, o):
+    # Connect succeeds while the endpoint has begun to drain.
+    waiting = []
+    o.pool._up = lambda *args: waiting.append(args)
+    sending = asyncio.ensure_future(o.send(endpoint.port, "a"))
+    await until(lambda: waiting)
+    o.wanted = o.allowed = False
+    del o.pool._up
+    o.pool._up(*waiting[0])
+    assert (await sending)[0][1].result is Result.MOOT
+    assert not o.pool.idle and waiting[0][1].closed and endpoint.calls.empty()
+    assert (await o.send(endpoint.port, "b"))[0][1].result is Result.MOOT  # and none is opened any more
+    assert o.pool.places[1].opened == 1
+
+
+@run
+async def test_an_endpoint_that_moved_or_left_ends_with_its_calls(endpoint, o):
+    links = await idle(o, endpoint, 2)
+    busy = await lent(o, endpoint)
+    o.pool.news()
+    o.pool.place(1, ("127.0.0.1", free_port()))
+    assert links[0].closed and not busy.closed and o.pool.news() == [(1, ())]
+    o.pool.take_back(busy)
+    assert busy.closed and not o.pool.leaving
+    assert o.pool.totals() == {"opened": 2, "reused": 1, p.LEFT: 2}
+
+
+class Late(Endpoint):
+    """Sends more than its answer: after it, or long after the caller's time-out."""
+
+    async def serve(self, reader, writer):
+        self.accepted += 1
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer(200) + answer(500))
+        await reader.read()
+
+
+def test_bytes_beyond_an_answers_end_never_meet_the_next_call():
+    async def go():
+        endpoint, o = await Late().start(), Outcomes()
+        for ident in "ab":
+            assert (await o.send(endpoint.port, ident))[0][1].result is Result.OK
+        assert endpoint.accepted == 2 and o.pool.places[1].reused == 0
+        await endpoint.stop()
+    asyncio.run(go())
+
+
+@run
+async def test_an_answer_after_the_time_out_never_meets_the_next_call(endpoint, o):
+    endpoint.release = asyncio.Event()
+    endpoint.script = [answer(500), answer(200)]
+    assert (await o.send(endpoint.port, "a", timeout_us=50_000))[0][1].result is Result.TIMEOUT
+    endpoint.release.set()
+    assert (await o.send(endpoint.port, "b"))[0][1].result is Result.OK and endpoint.accepted == 2
+
+
+@pytest.mark.parametrize(("size", "result"), [(10, Result.RESET), (4_000_000, Result.CONNECT_FAILED)])
+def test_an_end_under_the_request_tells_by_the_last_byte_whether_it_may_have_run(size, result):
+    async def go():
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        ended = threading.Event()
+
+        def serve():
+            peer, _ = listener.accept()
+            peer.recv(65536)
+            peer.sendall(answer(200))
+            peer.recv(10)  # of the next one, on the same connection
+            peer.close()
+            ended.set()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        o = Outcomes()
+        port = listener.getsockname()[1]
+        assert (await o.send(port, "a"))[0][1].result is Result.OK
+        assert (await o.send(port, "b", body=b"x" * size))[0][1].result is result
+        assert o.pool.places[1].reused == 1 and o.pool.places[1].closed == {p.BROKE: 1}
+        thread.join()
+        listener.close()
+    asyncio.run(go())
+
+
+class Full:
+    """Stands for a process whose descriptors have run out."""
+
+    def __init__(self, monkeypatch):
+        self.room, self.asked = 0, 0
+        real = p.Link.__init__
+
+        def init(link, *args, **more):
+            self.asked += 1
+            if not self.room:
+                raise OSError(errno.EMFILE, "too many open files")
+            self.room -= 1
+            real(link, *args, **more)
+        monkeypatch.setattr(p.Link, "__init__", init)
+
+
+def test_without_a_descriptor_an_idle_one_makes_room_and_calls_wait_a_bounded_time(monkeypatch):
+    async def go():
+        a, b = await Endpoint().start(), await Endpoint().start()
+        o = Outcomes(connect_us=300_000)
+        await idle(o, a, 1)
+        o.pool.place(2, ("127.0.0.1", b.port))
+        files = Full(monkeypatch)
+        real = o.pool.drop
+        o.pool.drop = lambda link, why: (real(link, why), setattr(files, "room", files.room + 1))
+        got = []
+        o.pool.lend(2, lambda link, error: got.append(link))
+        await until(lambda: got)
+        assert got[0].endpoint == 2 and o.pool.places[1].closed == {p.ROOM: 1}
+        assert [r.result for _, r in await o.send(a.port, "x")] == [Result.MOOT]  # none came free in its time
+        sending = asyncio.ensure_future(o.send(a.port, "y"))
+        await until(lambda: o.pool.waiting)
+        o.pool.drop(got[0], p.ASKED)  # one does now
+        assert [r.result for _, r in await sending] == [Result.OK]
+        assert not o.pool.waiting and not o.calls.out and files.asked < 50
+        for e in (a, b):
+            await e.stop()
+    asyncio.run(go())
+
+
+def test_half_open_connects_at_a_silent_machine_end_and_leave_nothing():
+    async def go():
+        with socket.socket() as s:
+            s.bind(("127.0.0.1", 0))
+            s.listen(0)
+            fill = [socket.socket() for _ in range(4)]
+            for f in fill:
+                f.setblocking(False)
+                f.connect_ex(s.getsockname())
+            o, before = Outcomes(connect_us=200_000), open_files()
+            o.pool.place(1, s.getsockname())
+            ends = await asyncio.gather(*(o.send(s.getsockname()[1], str(n)) for n in range(30)))
+            assert {outcome.result for (_, outcome), in ends} == {Result.CONNECT_FAILED}
+            assert open_files() == before and not o.pool.places[1].links
+            assert o.pool.places[1].closed == {p.NEVER_UP: 30}
+            for f in fill:
+                f.close()
+    asyncio.run(go())
+
+
+@run
+async def test_warm_up_stays_within_the_bounds_and_writes_nothing(endpoint, o):
+    o.pool.place(1, ("127.0.0.1", endpoint.port))
+    o.pool.keep(1, 2)
+    for _ in range(5):
+        o.pool.warm(1)
+    await until(lambda: len(o.pool.idle) == 2)
+    assert o.pool.places[1].opened == 2 and endpoint.calls.empty() and o.ended.empty()
+    o.wanted = False
+    o.pool.close_idle(1)
+    o.pool.warm(1)
+    assert not o.pool.places[1].links
+
+
+@run
+async def test_thousands_of_churned_endpoints_leave_no_descriptor(endpoint, o):
+    before = open_files()
+    for n in range(2000):
+        o.pool.place(n, ("127.0.0.1", endpoint.port))
+        done = asyncio.get_running_loop().create_future()
+        o.pool.lend(n, lambda link, error, done=done: done.set_result(link))
+        link = await bounded(done)
+        if n % 3:
+            o.pool.take_back(link)
+        o.pool.forget(n)
+        if not n % 3:
+            o.pool.take_back(link)
+    await until(lambda: not endpoint.writers)
+    assert open_files() == before and not o.pool.places and not o.pool.leaving and not o.pool.changed
+    assert o.pool.totals() == {"opened": 2000, "reused": 0, p.LEFT: 2000}
+
+
+@run
+async def test_an_upgrade_hands_over_when_each_was_opened_beside_the_rows(endpoint, o):
+    links = await idle(o, endpoint, 2)
+    cargo = Cargo()
+    rows = o.pool.carry_idle(cargo, 10)
+    assert [len(row) for row in rows] == [4, 4]  # as the version before knows them
+    assert cargo.values["born"] == {0: links[1].born, 1: links[0].born}
+    other = Outcomes()
+    other.pool.place(1, ("127.0.0.1", endpoint.port))
+    other.pool.resume_idle([(e, tuple(a), socket.socket(fileno=os.dup(cargo.fds[place])), since,
+                             cargo.values["born"][place]) for e, a, place, since in rows])
+    assert [k.idle_at for k in other.pool.places[1].idle] == [k.idle_at for k in links]
+    other.pool.close()
+
+
+@courier
+async def test_an_old_process_that_hands_over_fewer_or_unknown_fields_is_understood(fleet):
+    e = await fleet.endpoint("a")
+    client = await fleet.inside()
+    assert await client.put("m") == "+OK"
+    await e.call()
+    host = fleet.host
+    await until(lambda: host.pool.idle)
+    cargo = host._cargo()
+    values = cargo.values
+    del values["born"]
+    values["unknown"] = {"x": 1}
+    values["idle"] = [[*row, "later field"] for row in values["idle"]]
+    born = host._born(0, host.loop.time() - 5)
+    host.cargo = Cargo(values, [os.dup(fd) for fd in cargo.fds])
+    host.pool.close_idle(host.uids["a"])
+    host._resume(values)
+    assert len(host.pool.idle) == 1 and abs(time.time() - 5 - born) < 1
+    del values["idle"]
+    host._resume(values)
+    assert await client.put("n") == "+OK"
+    await e.call()
+
+
+@courier
+async def test_the_module_and_the_pool_have_one_account(fleet):
+    # The module counted for itself what came free, and never heard what the pool closed.
+    e = await fleet.endpoint("a", answer(200, Connection="close"), answer(200), answer(200))
+    client = await fleet.inside()
+    host = fleet.host
+    number = host.uids["a"]
+
+    def agree():
+        host.turn()
+        known = host.courier.endpoints[number].links.idle
+        return known == [int(k.idle_at * 1e6) for k in host.pool.places[number].idle]
+
+    for n in range(3):
+        assert await client.put(f"m{n}") == "+OK"
+        await e.call()
+        await until(lambda: not host.calls.out)
+        assert agree() and len(host.pool.idle) == (n > 0)
+    host.pool.close_idle(number)
+    assert agree() and not host.pool.idle
+    fleet.discovery.change("a", endpoint=f"127.0.0.1:{free_port()}")
+    await until(lambda: host.watch.rev == fleet.discovery.rev)
+    assert agree()
+
+
+@courier
+async def test_staff_see_the_connections_at_the_door(fleet):
+    e = await fleet.endpoint("a")
+    client = await fleet.inside()
+    for n in range(3):
+        assert await client.put(f"m{n}") == "+OK"
+        await e.call()
+        await until(lambda: not fleet.host.calls.out)
+    status, said = await at_door(fleet.door, "GET", "/connections")
+    assert status == 200 and said["open"] == said["idle"] == 1 and said["not_shown"] == 0
+    row, = said["endpoints"]
+    assert row == {"endpoint": "a", "open": 1, "lent": 0, "opening": 0, "idle": 1, "opened": 1, "reused": 2,
+                   "closed": {}, "kept_at_most": fleet.host.courier.endpoints[1].links.told}
+    assert await at_door(fleet.door, "GET", "/connections/a") == (200, row)
+    assert (await at_door(fleet.door, "GET", "/connections/b"))[0] == 404
+    assert (await at_door(fleet.door, "POST", "/connections"))[0] == 405
+    places = fleet.host.pool.places
+    for n in range(1000, 5000):  # bounded, however many there are
+        places[n] = p.Place(("127.0.0.1", 1))
+    status, said = await at_door(fleet.door, "GET", "/connections")
+    assert len(said["endpoints"]) == p.MOST_ROWS and said["not_shown"] == 4001 - p.MOST_ROWS
+
+
+def test_restarts_reloads_and_whole_new_lists_leave_no_descriptor(tmp_path):
+    async def go():
+        async with Fleet(tmp_path) as fleet:
+            e = await fleet.endpoint("a0")
+            client = await fleet.inside()
+            host = fleet.host
+            assert await client.put("m0") == "+OK"
+            await e.call()
+            base = None
+            for n in range(1, 40):
+                fleet.discovery.targets.clear()
+                fleet.discovery.target(f"a{n}", e.port, 7)
+                fleet.discovery.rev += 1
+                fleet.discovery._push(fleet.discovery.whole())
+                await until(lambda: host.watch.rev == fleet.discovery.rev)
+                assert await client.put(f"m{n}") == "+OK"
+                await e.call()
+                await until(lambda: not host.calls.out)
+                host.move_discovery(("127.0.0.1", fleet.discovery.port))
+                await until(lambda: len(fleet.discovery.watchers) == 1)
+                if n == 9:
+                    await until(lambda: len(e.writers) == 1)
+                    base = open_files()
+            await until(lambda: len(e.writers) == 1 and open_files() <= base)
+            client.writer.close()
+            host.terminate()
+            await bounded(host.closed)
+            host.close()
+            fleet.host = None
+            assert not host.pool.places or not any(x.links for x in host.pool.places.values())
+    asyncio.run(go())
+
+
+def test_a_payment_lost_on_a_reused_connection_is_not_sent_twice_and_a_safe_one_is(tmp_path):
+    async def go():
+        async with Fleet(tmp_path) as fleet:
+            e = await fleet.endpoint("a", answer(200), "reset", answer(200), "reset", answer(200))
+            client = await fleet.inside()
+            for ident, kind in (("first", "safe"), ("pay", "unsafe"), ("next", "safe"), ("again", "safe")):
+                assert await client.put(ident, kind=kind) == "+OK"
+                await until(lambda: not fleet.host.calls.out and not fleet.host.events)
+            assert (await fleet.discovery.final()) == {"id": "pay", "status": "undeliverable"}
+            ids = [(await e.call())[1]["x-request-id"] for _ in range(5)]
+            assert ids == ["first", "pay", "next", "again", "again"]
+            place = fleet.host.pool.places[1]
+            assert (place.opened, place.reused) == (3, 2)  # both were lost on one that had been used before
+            await until(lambda: not fleet.host.journal.held)
+            assert e.calls.empty()
+    asyncio.run(go())
