Let the configuration switch on opening connections early; it stays off

Need: a connection opened before a message needs it saves that message a handshake. Change: `connections.warm_up` in the file, checked when read (exit 2 with one line), on SIGHUP logged with the old value kept; what it can't read of the options does not keep it from following discovery. Off means that the module never hears of it. It stays off.

--- a/hopmill/__main__.py
+++ b/hopmill/__main__.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-from hopmill.net.config import Config, ConfigError, discovery_in_file, load
+from hopmill.net.config import Config, ConfigError, discovery_in_file, load, options_in_file
 from hopmill.net.host import Host
 from hopmill.net.upgrade import Cargo, Owner, become_owner
 
@@ -30,7 +30,11 @@
 
 
 def reload(host: Host) -> None:
-    """SIGHUP: the configuration was replaced. One that can't be read changes nothing."""
+    """SIGHUP: the configuration was replaced. What can't be read of it changes nothing."""
+    try:
+        host.set_options(options_in_file(os.environ))
+    except ConfigError as error:
+        logging.error("the new options are not used: %s", error)
     try:
         address = discovery_in_file(os.environ)
     except ConfigError as error:
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -6,7 +6,7 @@
 import os
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +20,13 @@
     """A value that lacks or is wrong; the text is one line that names its field."""
 
 
+@dataclass(frozen=True)
+class Options:
+    """What is optional; all of it is off unless the file names it. docs/operations.md has each part."""
+
+    warm_up: bool = False  # connections.warm_up: opened before a message needs them
+
+
 @dataclass(frozen=True)
 class Config:
     """Everything that a courier is told."""
@@ -37,6 +44,7 @@
     zones: tuple[str, ...]
     operator: Address | None = None  # where operators call, if anywhere
     listen_fd: int | None = None  # the clients' listening socket, where the platform holds it
+    options: Options = field(default_factory=lambda: Options())
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -67,7 +75,7 @@
         known=_known(_mapping(raw, "known")), settings=_settings(given),
         zones=tuple(str(z) for z in given.get("localities") or ()),
         operator=parse_address(door, "LB_OPERATOR") if door else None,
-        listen_fd=_listen_fd(env.get("LB_LISTEN_FD", "")))
+        listen_fd=_listen_fd(env.get("LB_LISTEN_FD", "")), options=_options(raw))
 
 
 def discovery_in_file(env: Mapping[str, str]) -> Address:
@@ -75,6 +83,21 @@
     return parse_address(_read(env).get("discovery"), "discovery")
 
 
+def options_in_file(env: Mapping[str, str]) -> Options:
+    """What the file says of the optional parts now: after a SIGHUP."""
+    return _options(_read(env))
+
+
+def _options(raw: dict[str, Any]) -> Options:
+    given = _mapping(raw, "connections")
+    if unknown := sorted(set(given) - {"warm_up"}):
+        raise ConfigError(f"connections.{unknown[0]}: no such option")
+    warm_up = given.get("warm_up", False)
+    if not isinstance(warm_up, bool):
+        raise ConfigError(f"connections.warm_up: must be true or false, not {warm_up!r}")
+    return Options(warm_up)
+
+
 def _listen_fd(text: str) -> int | None:
     if not text:
         return None
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -17,7 +17,7 @@
 from hopmill.net.accept import listening_socket
 from hopmill.net.calls import Calls, Hooks, Item, Outcome
 from hopmill.net.clients import BACKLOG, BadRequest, ClientServer, Put, Reply
-from hopmill.net.config import Address, Config, ConfigError, parse_address
+from hopmill.net.config import Address, Config, ConfigError, Options, parse_address
 from hopmill.net.discovery import Notices, Watch
 from hopmill.net.operator import Door, Routes
 from hopmill.net.pool import ASKED, Pool
@@ -86,6 +86,7 @@
         self.clients = ClientServer(self.put, max(8, int(places)))
         self.notices = Notices(loop, config.discovery, self._accepted)
         self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed, self.s.couriers)
+        self.options = Options()
         self.moved_to: Address | None = None  # where discovery went with a changed configuration
         self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck),
                                 ("POST", "/healthcheck/fail", lambda: self._drain(True)),
@@ -104,6 +105,7 @@
         self.listed({"all": True, "targets": known["targets"]}, i.ListForm.CACHED)
         self.events += [i.SetByHand(self._number(uid), True) for uid in sorted(self.journal.out_by_hand)]
         self.watch.rev = known["rev"]
+        self.set_options(self.config.options)
         if carried:
             self._resume(carried)
         else:
@@ -561,6 +563,13 @@
     def _number(self, uid: str) -> int:
         return self.uids.setdefault(uid, len(self.uids) + 1)
 
+    def set_options(self, options: Options) -> None:
+        """Only what changes is told: while a part is off the module never hears of it."""
+        if options != self.options:
+            log.info("options: %s", options)
+            self.options = options
+            self.tell(i.WarmUp(options.warm_up))
+
     def move_discovery(self, address: Address) -> None:
         """A changed configuration: the list comes from there and notices go there from now on."""
         self.moved_to = address
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -1,14 +1,17 @@
 """The courier in this process, between scripted endpoints, discovery and clients."""
 
 import asyncio
+import json
+import os
 import time
 from dataclasses import replace
 
 import pytest
 from loopback import Client, Discovery, Fleet, answer, bounded, courier, settings
 
+from hopmill.__main__ import reload
 from hopmill.interface import EndpointState
-from hopmill.net.config import ConfigError, load
+from hopmill.net.config import ConfigError, Options, load
 
 
 @courier
@@ -287,6 +290,38 @@
         load({**env, name: value})
 
 
+@pytest.mark.parametrize(("given", "field"), [
+    ([], "connections"), ({"warm_up": 1}, "connections.warm_up"), ({"warmup": True}, "connections.warmup")])
+def test_a_wrong_option_is_named(tmp_path, given, field):
+    async def run():
+        async with Fleet(tmp_path) as fleet:
+            return fleet.env(), fleet.folder / "config.json"
+    env, path = asyncio.run(run())
+    assert load(env).options == Options()  # off unless it is named
+    config = json.loads(path.read_text())
+    path.write_text(json.dumps({**config, "connections": {"warm_up": True}}))
+    assert load(env).options.warm_up
+    path.write_text(json.dumps({**config, "connections": given}))
+    with pytest.raises(ConfigError, match=f"^{field}: [^\n]+$"):
+        load(env)
+
+
+@courier
+async def test_options_change_with_a_reload_and_wrong_ones_change_nothing(fleet):
+    await fleet.inside()
+    path = fleet.folder / "config.json"
+    config = json.loads(path.read_text())
+    for given, on in (({}, False), ({"warm_up": True}, True), ({"warm_up": "yes"}, True), ({}, False)):
+        path.write_text(json.dumps({**config, "connections": given,
+                                    "discovery": f"127.0.0.1:{fleet.discovery.port}"}))
+        os.environ["LB_CONFIG"] = str(path)
+        reload(fleet.host)
+        fleet.host.turn()
+        assert fleet.host.courier.warm_up is on
+        assert fleet.host.moved_to  # a wrong option does not keep it from following discovery
+    del os.environ["LB_CONFIG"]
+
+
 def test_settings_that_cannot_be_are_named(tmp_path):
     async def run():
         async with Fleet(tmp_path, settings(familyInfo__maxCalls=0)) as fleet:
