Let staff leave a whole zone out and bring it back gradually, at the door

Need: when a hall has to be emptied, staff had to name each endpoint at each courier, and new ones there came in by themselves. Zones are numbered as they are named, the settings' first, at most 256 (an unknown one counted as the first before); an endpoint that changes its zone goes by the new one.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -14,8 +14,10 @@
 from hopmill.interface import (
     Action, AttemptAnswering, AttemptEnded, CallCarried, Carried, CloseIdle, Closing, Connections, Effect,
     EndpointsListed, EndpointState, Event, Fail, Keep, ListEntry, ListForm, Log, MessageArrived, MessageClass,
-    MessageGone, OpenIdle, Refuse, Result, Send, SetByHand, SetTimer, Settings, Subscribe, WarmUp)
+    MessageGone, OpenIdle, Refuse, Result, Send, SetByHand, SetTimer, Settings, SetZoneByHand, Subscribe,
+    WarmUp, ZoneCarried)
 from hopmill.links import Links
+from hopmill.zones import Zones
 
 # The design's own figures.
 BASE_US = 100_000  # first ceiling of the jittered wait (the note's default)
@@ -153,6 +155,7 @@
         self.calls: dict[tuple[int, int], tuple[Call, Message]] = {}
         self.out = self.seq = 0
         self.by_hand: set[int] = set()  # endpoints that an operator leaves out
+        self.zones = Zones(settings.cold_share, settings.cold_us, self.random)
         self.expiries: list[tuple[int, int]] = []
         self.timers: list[int] = []
         self.keys: dict[int, list[Message]] = {}
@@ -201,6 +204,10 @@
                 ep.links.idle = list(e.idle_since)
             elif isinstance(e, SetByHand):
                 self._set_by_hand(e)
+            elif isinstance(e, SetZoneByHand):
+                self._set_zone_by_hand(e)
+            elif isinstance(e, ZoneCarried):
+                self.zones.back[e.zone] = e.since_us, e.until_us
             elif isinstance(e, WarmUp):
                 self.warm_up = e.on
             elif isinstance(e, Carried) and (ep := self.endpoints.get(e.endpoint)):
@@ -228,11 +235,35 @@
         elif e.endpoint in self.by_hand:
             self.by_hand.remove(e.endpoint)
             if ep := self.endpoints.get(e.endpoint):  # it was restarted meanwhile, and is cold
-                self._base(ep)
-                ep.bad = ep.dirty = ep.c.bad = 0.0
-                ep.c.open, ep.c.trial, ep.c.gap, ep.c.tokens = False, None, 0, 1.0
-                ep.c.ramp_from = ep.c.stamp = self.now
-                self.actions.append(Log(f"endpoint {ep.id} may serve again: slow start"))
+                self._start_cold(ep)
+
+    def _start_cold(self, ep: Endpoint) -> None:
+        self._base(ep)
+        ep.bad = ep.dirty = ep.c.bad = 0.0
+        ep.c.open, ep.c.trial, ep.c.gap, ep.c.tokens = False, None, 0, 1.0
+        ep.c.ramp_from = ep.c.stamp = self.now
+        self.actions.append(Log(f"endpoint {ep.id} may serve again: slow start"))
+
+    def _set_zone_by_hand(self, e: SetZoneByHand) -> None:
+        there = [ep for ep in self.endpoints.values() if ep.zone == e.zone]
+        if e.out:
+            self.zones.leave(e.zone)
+            self.actions += [CloseIdle(ep.id) for ep in there]
+        elif self.zones.bring_back(e.zone, self.now):
+            for ep in there:
+                # A circuit that others share goes on for these: chance alone keeps the share small there.
+                others = [x for x in ep.lane.endpoints.values() if x.c is ep.c and x.zone != e.zone]
+                if ep.id not in self.by_hand and not any(self._may_serve(x) for x in others):
+                    self._start_cold(ep)
+        state, share, why = self.zones.state(e.zone, self.now)
+        self.actions.append(Log(f"zone {e.zone}: {state}, share {share:.2f}, {why}, {len(there)} endpoints"))
+
+    def may_serve(self, endpoint: int, zone: int) -> bool:
+        """Whether operators let it have calls, and connections for them."""
+        return endpoint not in self.by_hand and zone not in self.zones.out
+
+    def _may_serve(self, ep: Endpoint) -> bool:
+        return ep.state is EndpointState.READY and self.may_serve(ep.id, ep.zone)
 
     # Upgrades
 
@@ -278,7 +309,7 @@
             if ep is None and entry.state is not EndpointState.GONE:
                 ep = self._add(entry)
             if ep is not None:
-                ep.state = entry.state
+                ep.state, ep.zone = entry.state, entry.zone
                 if self.s.rates_listed and entry.rate_per_s > 0 and ep.lane.hint != entry.rate_per_s:
                     ep.lane.hint = entry.rate_per_s
                     ep.lane.listed = ep.lane.rate = ep.lane.brink = entry.rate_per_s / self.s.couriers
@@ -674,7 +705,7 @@
         """The gate, lane side: drain, wait, slots, windows, pace, circuit, recovery budget."""
         lane, now = ep.lane, self.now
         busy = self.out >= self.s.slots or lane.dest.out >= self.cap or lane.out >= int(lane.window)
-        if busy or ep.state is not EndpointState.READY or ep.id in self.by_hand:
+        if busy or not self._may_serve(ep):
             return False
         if now < lane.wait_until:
             self._wake(lane.wait_until)
@@ -746,6 +777,8 @@
         """The message of a destination that loses most by waiting, and the endpoint for it."""
         quick = self.thin and any(m.quick and m.ready_at <= self.now for m in dest.queue)
         free = [ep for lane in dest.lanes for ep in lane.endpoints.values() if self._free(ep, quick)]
+        if self.zones.back:
+            free = self._returning(dest, free)
         if not free:
             return None
         rate = sum(lane.rate or lane.seen or 1.0 for lane in dest.lanes)
@@ -763,6 +796,16 @@
                 best = (*key, m, min(fit, key=lambda ep, m=m: self._rank(ep, m)))
         return best
 
+    def _returning(self, dest: Destination, free: list[Endpoint]) -> list[Endpoint]:
+        """Without what returning zones may not have yet, where the destination has another choice. The chance
+        is taken each time that a message could go, so it is the share of those."""
+        other = any(self._may_serve(ep) and ep.zone not in self.zones.back and not ep.c.open
+                    for lane in dest.lanes for ep in lane.endpoints.values())
+        if not other:
+            return free
+        kept = {z for z in list(self.zones.back) if self.random.random() >= self.zones.share(z, self.now)}
+        return [ep for ep in free if ep.zone not in kept]
+
     def _rank(self, ep: Endpoint, m: Message) -> tuple:
         """Healthy first, then not the one that just failed, one with an idle connection, the cheap one."""
         fee = self.s.zone_fees[ep.zone] if ep.zone < len(self.s.zone_fees) else 0.0
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -267,6 +267,23 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SetZoneByHand:
+    """An operator leaves a whole zone out, or lets it return: gradually, and its endpoints are cold."""
+
+    zone: int
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneCarried:
+    """After an upgrade: a zone that was on its way back, since when and until when."""
+
+    zone: int
+    since_us: int
+    until_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Carried:
     """After an upgrade: what the process before had learned of an endpoint, named as Courier.carry() does.
@@ -302,7 +319,8 @@
 
 
 Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | ProbeEnded | MessageGone
-         | TimerDue | Closing | PeerNote | SetByHand | Carried | CallCarried | Connections | WarmUp)
+         | TimerDue | Closing | PeerNote | SetByHand | Carried | CallCarried | Connections | WarmUp
+         | SetZoneByHand | ZoneCarried)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -36,6 +36,7 @@
 # A planned restart, in seconds from SIGTERM: new clients come until LISTEN_S, calls may last until CALLS_S.
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
 FORMAT = 1  # of what an upgrade hands over; one that is not known counts as nothing
+MOST_ZONES = 256  # an entry with one more is not used: names must not pile up
 LAST_TURNS = 5  # taken before a hand-over, until nothing has come in
 AGAIN_S = 1.0  # after one that failed, until the next is tried: the loop stands still in each
 SPARE_FDS = 24  # what a new process has open before it is given anything
@@ -93,6 +94,9 @@
                                 ("POST", "/healthcheck/ok", lambda: self._drain(False)),
                                 ("GET", "/connections", lambda: (200, self.pool.figures(self._uid))),
                                 ("GET", "/connections/*", self._connections),
+                                ("GET", "/zones", self._zones),
+                                ("POST", "/zones/*/maint", lambda name: self._set_zone_by_hand(name, True)),
+                                ("POST", "/zones/*/ready", lambda name: self._set_zone_by_hand(name, False)),
                                 ("POST", "/endpoints/*/maint", lambda uid: self._set_by_hand(uid, True)),
                                 ("POST", "/endpoints/*/ready", lambda uid: self._set_by_hand(uid, False))),
                          config.sockets)
@@ -104,6 +108,7 @@
         known = carried.get("known", self.config.known)
         self.listed({"all": True, "targets": known["targets"]}, i.ListForm.CACHED)
         self.events += [i.SetByHand(self._number(uid), True) for uid in sorted(self.journal.out_by_hand)]
+        self.events += [i.SetZoneByHand(self._zone(name), True) for name in sorted(self.journal.zones_out)]
         self.watch.rev = known["rev"]
         self.set_options(self.config.options)
         if carried:
@@ -187,7 +192,8 @@
         cargo.values.update(
             uids=self.uids, known={"rev": self.watch.rev, "targets": list(self.targets.values())},
             waits=[[*key, until] for key, until in self.waits.items()],
-            learned=self.courier.carry(), calls=self.calls.carry(cargo), unwritten=self.calls.unwritten(),
+            learned=self.courier.carry(), returning=self._zones_returning(),
+            calls=self.calls.carry(cargo), unwritten=self.calls.unwritten(),
             door=self.door.carry(cargo), moved=self.moved_to)
         cargo.values["clients"] = self.clients.carry(cargo, max(1, room - len(cargo.fds)))
         cargo.values["idle"] = self.pool.carry_idle(cargo, room - len(cargo.fds))
@@ -200,6 +206,8 @@
         self.pool.resume_idle([
             (endpoint, tuple(address), self._carried_sock(place), since, self._born(place, since))
             for endpoint, address, place, since, *_ in carried.get("idle", ())])
+        self.events += [i.ZoneCarried(self._zone(name), since, until)
+                        for name, since, until in carried.get("returning", ())]
         self.events += [i.Carried(endpoint, figures) for endpoint, figures in carried["learned"]]
         for number in carried["unwritten"]:
             self._note(self.journal.missed, number)
@@ -481,7 +489,7 @@
         """Neither draining, nor gone, nor out by hand: it may get calls, and connections for them."""
         entry = self.entries.get(endpoint)
         ready = entry is not None and entry.state is i.EndpointState.READY
-        return ready and endpoint not in self.courier.by_hand
+        return ready and self.courier.may_serve(endpoint, entry.zone)
 
     def _may_write(self, endpoint: int) -> bool:
         """News that came while a connection was being made holds for the call that waits for it."""
@@ -548,7 +556,7 @@
 
     def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, Address, float]:
         number = self._number(str(target["uid"]))
-        kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
+        kind, zone = self.kinds.get(target.get("model", ""), 0), self._zone(str(target.get("az", "")))
         rate = float(target.get("capacity_hint") or 0.0)
         if not math.isfinite(rate):  # the decision module would pace by it
             raise ValueError("capacity_hint")
@@ -560,6 +568,12 @@
             raise ValueError("boot_ms")
         return entry, address, boot_ms
 
+    def _zone(self, name: str) -> int:
+        """Those of the settings come first; the list and staff may name more, up to a bound."""
+        if name not in self.zones and len(self.zones) >= MOST_ZONES:
+            raise ValueError("az")
+        return self.zones.setdefault(name, len(self.zones))
+
     def _number(self, uid: str) -> int:
         return self.uids.setdefault(uid, len(self.uids) + 1)
 
@@ -615,6 +629,30 @@
             return 404, {"error": "no such endpoint is listed"}
         return 200, {"endpoint": uid, **place.figures()}
 
+    def _zones_returning(self) -> list[tuple[str, int, int]]:
+        """By name: the next process may number them otherwise."""
+        names = {number: name for name, number in self.zones.items()}
+        return [(names[zone], *span) for zone, span in self.courier.zones.back.items()]
+
+    def _zones(self) -> tuple[int, dict[str, Any]]:
+        now, listed = self.clock(), [entry.zone for entry in self.entries.values()]
+        rows = []
+        for name, number in self.zones.items():
+            state, share, why = self.courier.zones.state(number, now)
+            rows.append({"zone": name, "state": state, "share": round(share, 3), "reason": why,
+                         "endpoints": listed.count(number)})
+        return 200, {"zones": rows}
+
+    def _set_zone_by_hand(self, name: str, out: bool) -> tuple[int, dict[str, Any]]:
+        """Recorded, then done, then answered: nothing new starts there after the yes."""
+        if name not in self.zones:
+            return 404, {"error": "no such zone was ever named"}
+        if out is not (name in self.journal.zones_out):
+            self.journal.set_zone_by_hand(name, out)
+            self.events.append(i.SetZoneByHand(self.zones[name], out))
+            self.turn()
+        return 200, {"zone": name, "out_by_hand": out}
+
     # The end
 
     def terminate(self) -> None:
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -101,6 +101,7 @@
         self.keys: dict[str, float] = {}  # key: when the first attempt with it that may have run was sent
         self.drained = False  # by an operator, until called back
         self.out_by_hand: set[str] = set()  # endpoints' uids, the same
+        self.zones_out: set[str] = set()  # zones' names, the same
         self.live = self.last = 0
         self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -160,6 +161,10 @@
         """An operator leaves an endpoint out, or lets it serve again."""
         self._write(["hand", uid, out])
 
+    def set_zone_by_hand(self, name: str, out: bool) -> None:
+        """An operator leaves a zone out, or lets it return."""
+        self._write(["zone", name, out])
+
     def _write(self, record: list[Any]) -> None:
         data = frame(record)
         if self.size + len(data) > max(SMALL, 4 * self.live) or not self._fits(len(data)):
@@ -217,9 +222,9 @@
         elif kind == "drain":
             self.drained = bool(record[1])
         elif kind == "hand":
-            uid, out = str(record[1]), bool(record[2])
-            self.live += (len(uid) + EACH) * (out - (uid in self.out_by_hand))
-            (self.out_by_hand.add if out else self.out_by_hand.discard)(uid)
+            self._set(self.out_by_hand, str(record[1]), bool(record[2]))
+        elif kind == "zone":
+            self._set(self.zones_out, str(record[1]), bool(record[2]))
         elif kind == "known":
             self.last = max(self.last, record[1])
             for ident, at in record[2].items():
@@ -227,6 +232,10 @@
             for key, at in record[3].items():
                 self._remember_key(key, at)
 
+    def _set(self, names: set[str], name: str, out: bool) -> None:
+        self.live += (len(name) + EACH) * (out - (name in names))
+        (names.add if out else names.discard)(name)
+
     def key_ran_at(self, key: str) -> float:
         """When the first attempt with this key that may have run was sent, 0 if none is known."""
         at = self.keys.get(key, 0.0) if key else 0.0
@@ -252,9 +261,10 @@
         self.over = {i: at for i, at in self.over.items() if now - at < OVER_S}
         self.keys = {k: at for k, at in self.keys.items() if now - at < self.key_s}
         self.live = sum(m.bytes for m in self.held.values()) + EACH * (len(self.over) + len(self.keys))
-        self.live += sum(len(uid) + EACH for uid in self.out_by_hand)
+        self.live += sum(len(name) + EACH for name in (*self.out_by_hand, *self.zones_out))
         parts = [frame(["known", self.last, self.over, self.keys]), frame(["drain", self.drained]),
-                 *(frame(["hand", uid, True]) for uid in self.out_by_hand)]
+                 *(frame(["hand", uid, True]) for uid in self.out_by_hand),
+                 *(frame(["zone", name, True]) for name in self.zones_out)]
         for m in self.held.values():
             parts.append(frame(m.record()))
         data = b"".join(parts)
--- /dev/null
+++ b/hopmill/zones.py
@@ -0,0 +1,53 @@
+"""How much of the traffic that has another choice a zone may get. No I/O, no clock.
+
+Zones are left and brought back by hand alone: no verdict is made here from what calls show.
+"""
+
+from __future__ import annotations
+
+import random
+
+JITTER = 0.25  # a return lasts so much longer or shorter by chance: couriers don't come back in step
+
+
+class Zones:
+    """The zones that staff have left out, and those on their way back."""
+
+    def __init__(self, cold_share: float, cold_us: int, chance: random.Random) -> None:
+        """cold_share, cold_us: the part of its capacity that what returns begins with, and until it has all.
+        chance: from the courier's seed."""
+        self.cold_share, self.cold_us, self.chance = cold_share, max(1, cold_us), chance
+        self.out: set[int] = set()
+        self.back: dict[int, tuple[int, int]] = {}  # zones on their way: since when, and until when
+
+    def leave(self, zone: int) -> None:
+        self.out.add(zone)
+        self.back.pop(zone, None)
+
+    def bring_back(self, zone: int, now: int) -> bool:
+        """Gradually, by real messages. False if it was not out."""
+        if zone not in self.out:
+            return False
+        self.out.remove(zone)
+        self.back[zone] = now, now + int(self.cold_us * self.chance.uniform(1 - JITTER, 1 + JITTER))
+        return True
+
+    def share(self, zone: int, now: int) -> float:
+        if zone in self.out:
+            return 0.0
+        if zone not in self.back:
+            return 1.0
+        since, until = self.back[zone]
+        if now >= until:
+            del self.back[zone]
+            return 1.0
+        return self.cold_share + (1 - self.cold_share) * max(0, now - since) / (until - since)
+
+    def state(self, zone: int, now: int) -> tuple[str, float, str]:
+        """For staff: state, share and reason."""
+        share = self.share(zone, now)
+        if zone in self.out:
+            return "out", share, "left out by an operator"
+        if zone in self.back:
+            return "returning", share, "brought back by an operator"
+        return "serving", share, ""
