--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -110,6 +110,25 @@
     assert got and h.courier.endpoints[100].c.ramp_from >= 0
 
 
+def test_without_another_choice_the_slow_start_alone_holds_back():
+    for seed in range(20):  # no chance is taken on top of it
+        h = two_zones(0)
+        h.courier.random.seed(seed)
+        h.do(SetZoneByHand(0, True), SetZoneByHand(0, False))
+        assert of(Send, h.arrive())
+
+
+def test_a_circuit_shared_with_other_zones_does_not_go_back_to_a_cold_start():
+    # In a large fleet a destination's endpoints share one: the other zones are well.
+    h = two_zones(couriers=100, slots=4)
+    h.do(SetZoneByHand(0, True), SetZoneByHand(0, False))
+    one, other = (h.courier.endpoints[100 + n] for n in (0, 1))
+    assert one.c is other.c and one.c.ramp_from < 0
+    alone = two_zones(0, couriers=100, slots=4)
+    alone.do(SetZoneByHand(0, True), SetZoneByHand(0, False))
+    assert alone.courier.endpoints[100].c.ramp_from >= 0
+
+
 def test_all_zones_out_and_a_zone_that_no_list_named():
     h = two_zones()
     h.do(SetZoneByHand(0, True), SetZoneByHand(1, True), SetZoneByHand(7, True))
