--- /dev/null
+++ b/hopmill/logs.py
@@ -0,0 +1,170 @@
+"""Structured logs: one line an event, by part and level, bounded in number and never in the way of the loop.
+
+`log = logs.part("calls")` gives a part's logger; `log.info("attempt.ended", message=..., endpoint=...)`
+writes a line. docs/logs.md lists the events and the one name of each field. Until `configure` is called,
+nothing is written.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import os
+import select
+import stat
+import sys
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, TextIO
+
+import msgspec
+import structlog
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+FORMATS = ("line", "json")
+PARTS = ("accept", "asyncio", "calls", "clients", "config", "courier", "discovery", "door", "journal",
+         "messages", "policy", "pool", "upgrade")
+MOST = 4096  # bytes of a line: a pipe that is ready takes as many without waiting
+METHODS = ("debug", "info", "warning", "error", "exception")
+
+
+class Part:
+    """The logger of one part of the program; `configure` gives it its methods."""
+
+    debug: Callable[..., Any]
+    info: Callable[..., Any]
+    warning: Callable[..., Any]
+    error: Callable[..., Any]
+    exception: Callable[..., Any]
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.debugs = False  # whether a debug line would be written: for what costs something to put together
+
+
+class Sink:
+    """Writes lines to a descriptor. What it can't take at once is dropped and counted, not waited for."""
+
+    def __init__(self, stream: TextIO | int, lines_per_s: int) -> None:
+        """lines_per_s: at most so many in a second of the monotonic clock; the rest are dropped."""
+        self.file = stream if isinstance(stream, int) else stream.fileno()
+        self.lines_per_s, self.second, self.count, self.dropped = lines_per_s, 0, 0, 0
+        self.render: Callable[[str, int], bytes] = lambda level, count: b""
+        self.ready = select.poll()
+        self.ready.register(self.file, select.POLLOUT)
+        # A file, or a log that nobody reads, never makes a writer wait.
+        mode = os.fstat(self.file).st_mode
+        self.may_block = stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode) or os.isatty(self.file)
+
+    def msg(self, line: str) -> None:
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second, self.count = second, 0
+            if self.dropped and self._write(self.render("log.dropped", self.dropped)):
+                self.dropped = 0
+        self.count += 1
+        if self.count > self.lines_per_s or not self._write(line.encode("utf-8", "replace")):
+            self.dropped += 1
+
+    debug = info = warning = error = critical = exception = log = msg
+
+    def _write(self, line: bytes) -> bool:
+        if len(line) >= MOST:
+            line = line[:MOST - 4] + b"..."
+        if self.may_block and not any(state & select.POLLOUT for _, state in self.ready.poll(0)):
+            return False
+        with contextlib.suppress(OSError):  # a log that is gone must not end the courier
+            os.write(self.file, line + b"\n")
+        return True
+
+
+class Stdlib(logging.Handler):
+    """What libraries log, asyncio above all."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        method = "error" if record.levelno >= logging.ERROR else "warning"
+        getattr(part("asyncio"), method)("library", text=record.getMessage(), logger=record.name,
+                                         exc_info=record.exc_info or None)
+
+
+def _in_order(_: Any, method: str, event: dict[str, Any]) -> dict[str, Any]:
+    """Time, level, part and event first, in both forms."""
+    head = {"at": event.pop("at"), "level": method if method != "exception" else "error",
+            "part": event.pop("part"), "event": event.pop("event")}
+    return head | {name: value for name, value in event.items() if value is not None}
+
+
+def _plain(value: Any) -> str:
+    return repr(value) if isinstance(value, BaseException) else str(value)
+
+
+def _as_json(event: dict[str, Any], **_: Any) -> str:
+    return msgspec.json.encode(event, enc_hook=_plain).decode()
+
+
+def _as_line(_: Any, __: str, event: dict[str, Any]) -> str:
+    head = [str(event.pop("at")), f"{event.pop('level'):<7}", f"{event.pop('part'):<9}", event.pop("event")]
+    return " ".join(head + [f"{name}={_word(value)}" for name, value in event.items()])
+
+
+def _word(value: Any) -> str:
+    """Quoted where it would not read as one word."""
+    text = _plain(value) if not isinstance(value, float) else f"{value:g}"
+    if text and text.isprintable() and not set(text) & set(' "='):
+        return text
+    return msgspec.json.encode(text).decode()
+
+
+_parts: dict[str, Part] = {}
+_now: dict[str, Any] = {}
+
+
+def part(name: str) -> Part:
+    """The logger of this part, the same one each time."""
+    if name not in _parts:
+        _parts[name] = Part(name)
+        _equip(_parts[name])
+    return _parts[name]
+
+
+def configure(form: str = "line", level: str = "info", levels: Mapping[str, str] | None = None,
+              lines_per_s: int = 50, stream: TextIO | int | None = None) -> None:
+    """From now on, also for loggers that were made before.
+
+    form: one of FORMATS. level: of all parts but those in `levels`, each one of LEVELS. lines_per_s: the
+    bound over all parts. stream: standard error if none is given; a number is a file descriptor.
+    """
+    sink = Sink(sys.stderr if stream is None else stream, lines_per_s)
+    renderer = structlog.processors.JSONRenderer(serializer=_as_json) if form == "json" else _as_line
+    processors = [structlog.processors.format_exc_info, structlog.processors.TimeStamper("iso", key="at"),
+                  _in_order, renderer]
+
+    def dropped(event: str, count: int) -> bytes:
+        fields: Any = {"event": event, "part": "courier", "count": count}
+        for step in processors:
+            fields = step(None, "warning", fields)
+        return fields.encode()
+
+    sink.render = dropped
+    _now.update(sink=sink, processors=processors, level=level, levels=dict(levels or {}))
+    for each in _parts.values():
+        _equip(each)
+    logging.basicConfig(level=logging.WARNING, handlers=[Stdlib()], force=True)
+
+
+def _equip(each: Part) -> None:
+    if not _now:
+        for method in METHODS:
+            setattr(each, method, _before_configured)
+        return
+    level = LEVELS[_now["levels"].get(each.name, _now["level"])]
+    logger = structlog.wrap_logger(
+        _now["sink"], processors=_now["processors"], part=each.name,
+        wrapper_class=structlog.make_filtering_bound_logger(level)).bind()
+    for method in METHODS:
+        setattr(each, method, getattr(logger, method))
+    each.debugs = level <= logging.DEBUG
+
+
+def _before_configured(event: str, **fields: Any) -> None:
+    """Parts are used on their own in tests and tools: what they say there is nobody's affair."""
--- a/hopmill/net/accept.py
+++ b/hopmill/net/accept.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from collections.abc import Callable
 
+from hopmill import logs
 from hopmill.net.config import Address
 
 PAUSE_S = 0.05  # with no descriptor left, until the next try
 OUT_OF_ROOM_S = 5.0  # between two lines of log on that
-log = logging.getLogger(__name__)
+log = logs.part("accept")
 
 
 def listening_socket(address: Address, backlog: int) -> socket.socket:
@@ -79,7 +79,7 @@
         try:
             await self.loop.connect_accepted_socket(protocol, connection)
         except OSError as error:
-            log.warning("a connection was lost as it was accepted: %s", error)
+            log.warning("connection.lost", error=error)
             connection.close()
 
     def _out_of_room(self, error: OSError) -> None:
@@ -87,4 +87,4 @@
         self.pausing = self.loop.call_later(PAUSE_S, self.start)
         if self.loop.time() - self.warned_at >= OUT_OF_ROOM_S:
             self.warned_at = self.loop.time()
-            log.error("no connections are accepted for a moment: %s", error)
+            log.error("accept.paused", error=error)
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -5,13 +5,13 @@
 import asyncio
 import base64
 import json
-import logging
 import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+from hopmill import logs
 from hopmill.interface import Result
 from hopmill.net.config import Address
 from hopmill.net.http import LOCAL_ERRORS, Exchange
@@ -22,7 +22,7 @@
 MAX_ANSWER = 64 * 1024  # bytes of an answer's body: what is longer is no answer, and is not waited for
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
           "used_up": Result.MOOT}
-log = logging.getLogger(__name__)
+log = logs.part("calls")
 
 
 @dataclass
@@ -154,7 +154,7 @@
     def data(self, data: bytes) -> None:
         self.received += len(data)
         if self.received > MAX_ANSWER:
-            log.warning("endpoint %d: an answer is over %d bytes", self.endpoint, MAX_ANSWER)
+            log.warning("answer.too_long", endpoint_number=self.endpoint, most=MAX_ANSWER)
             self.abandon()
             self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers)))
         elif len(self.items) > 1:  # a single call's body means nothing
--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -5,7 +5,6 @@
 import asyncio
 import fcntl
 import hashlib
-import logging
 import re
 import socket
 import termios
@@ -14,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from hopmill import logs
 from hopmill.net.accept import Acceptor
 from hopmill.net.resp import IMPROPER, MAX_BODY, Improper, ProtocolError, RequestReader
 from hopmill.net.upgrade import Cargo
@@ -29,7 +29,7 @@
 EMPTY_S, QUIET_S, SWEEP_S = 0.5, 0.2, 0.05
 ACCEPTS = 16  # in one turn of the loop
 MAX_DEST = 0xFFFF  # destinations have 16 bits
-log = logging.getLogger(__name__)
+log = logs.part("clients")
 
 
 class BadRequest(ValueError):
@@ -232,7 +232,7 @@
                 self.server.put(parse_put(request[1:]), reply)
                 self._proper()
             except BadRequest as error:
-                log.warning("a message was turned down: %s", error)
+                log.warning("put.improper", error=error)
                 reply.send(b"-ERR %s\r\n" % _line(str(error)))
         elif name == b"QUIT":
             self.closing = True
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -1,4 +1,4 @@
-"""What a courier is told at its start: the environment and the file that LB_CONFIG names."""
+"""What a courier is told at its start: the environment, and the file that it or LB_CONFIG names."""
 
 from __future__ import annotations
 
@@ -10,14 +10,12 @@
 from pathlib import Path
 from typing import Any
 
-from hopmill import wire
+from hopmill import document as doc
+from hopmill.document import ConfigError, Document
 from hopmill.interface import Settings
 
 Address = tuple[str, int]
-
-
-class ConfigError(Exception):
-    """A value that lacks or is wrong; the text is one line that names its field."""
+__all__ = ["Address", "Config", "ConfigError", "Options", "Source", "load", "parse_address"]
 
 
 @dataclass(frozen=True)
@@ -45,6 +43,30 @@
     operator: Address | None = None  # where operators call, if anywhere
     listen_fd: int | None = None  # the clients' listening socket, where the platform holds it
     options: Options = field(default_factory=lambda: Options())
+    log: doc.Log = field(default_factory=lambda: doc.Log())
+
+
+@dataclass(frozen=True)
+class Source:
+    """Where the configuration is read from, at the start and again on SIGHUP."""
+
+    env: Mapping[str, str]
+    file: Path | None = None  # TOML; else the JSON that LB_CONFIG names
+
+    def read(self) -> tuple[Document, Settings, dict[str, Any]]:
+        """(the file, the module's settings, the endpoints known before discovery speaks)."""
+        if self.file is not None:
+            document = doc.read_toml(self.file)
+            return document, document.settings(), document.known()
+        raw = _read_json(self.env)
+        document, settings = doc.from_platform(raw)
+        return document, settings, _known(raw.get("known", {}))
+
+    def discovery(self) -> Address:
+        """Where the file alone says discovery is: after a SIGHUP the environment names the old place. Read
+        apart: a mistake elsewhere in the platform's file must not keep a courier at an address that goes."""
+        told = self.read()[0].discovery if self.file else _read_json(self.env).get("discovery")
+        return parse_address(told, "discovery")
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -55,47 +77,28 @@
     return host.strip("[]"), int(port)
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """The configuration; the environment wins where both give a value."""
-    raw = _read(env)
-    limits = _mapping(raw, "limits")
-    given = _mapping(raw, "settings")
-    door = env.get("LB_OPERATOR") or raw.get("operator")
-    state = Path(env.get("LB_STATE", ""))
-    if not env.get("LB_STATE") or not state.is_dir():
-        raise ConfigError(f"LB_STATE: must be a folder, not {env.get('LB_STATE')!r}")
+def load(env: Mapping[str, str], file: Path | None = None) -> Config:
+    """The configuration; the environment wins where both give a value. ConfigError: one line."""
+    document, settings, known = Source(env, file).read()
+    door = env.get("LB_OPERATOR") or document.operator
+    folder = env.get("LB_STATE") or document.state
+    state = Path(folder)
+    if not folder or not state.is_dir():
+        raise ConfigError(f"LB_STATE: must be a folder, not {folder or None!r}")
+    limits = document.limits
     return Config(
-        name=str(env.get("LB_NAME") or raw.get("name", "")),
-        listen=parse_address(env.get("LB_LISTEN") or raw.get("listen"), "LB_LISTEN"),
-        discovery=parse_address(env.get("LB_DISCOVERY") or raw.get("discovery"), "LB_DISCOVERY"),
-        state=state, seed=_seed(raw.get("seed", 0)),
-        sockets=int(_number(limits, "sockets", 1024)),
-        disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
-        memory_bytes=int(_number(limits, "memory_mb", 192) * 1_000_000),
-        known=_known(_mapping(raw, "known")), settings=_settings(given),
-        zones=tuple(str(z) for z in given.get("localities") or ()),
+        name=env.get("LB_NAME") or document.name,
+        listen=parse_address(env.get("LB_LISTEN") or document.listen, "LB_LISTEN"),
+        discovery=parse_address(env.get("LB_DISCOVERY") or document.discovery, "LB_DISCOVERY"),
+        state=state, seed=_seed(document.seed), sockets=int(limits.sockets),
+        disk_bytes=int(limits.disk_mb * 1_000_000), memory_bytes=int(limits.memory_mb * 1_000_000),
+        known=known, settings=settings, zones=tuple(z.name for z in document.zones),
         operator=parse_address(door, "LB_OPERATOR") if door else None,
-        listen_fd=_listen_fd(env.get("LB_LISTEN_FD", "")), options=_options(raw))
-
-
-def discovery_in_file(env: Mapping[str, str]) -> Address:
-    """Where the file alone says discovery is: after a SIGHUP the environment still names the old place."""
-    return parse_address(_read(env).get("discovery"), "discovery")
+        listen_fd=_listen_fd(env.get("LB_LISTEN_FD", "")), options=options(document), log=document.log)
 
 
-def options_in_file(env: Mapping[str, str]) -> Options:
-    """What the file says of the optional parts now: after a SIGHUP."""
-    return _options(_read(env))
-
-
-def _options(raw: dict[str, Any]) -> Options:
-    given = _mapping(raw, "connections")
-    if unknown := sorted(set(given) - {"warm_up"}):
-        raise ConfigError(f"connections.{unknown[0]}: no such option")
-    warm_up = given.get("warm_up", False)
-    if not isinstance(warm_up, bool):
-        raise ConfigError(f"connections.warm_up: must be true or false, not {warm_up!r}")
-    return Options(warm_up)
+def options(document: Document) -> Options:
+    return Options(document.connections.warm_up)
 
 
 def _listen_fd(text: str) -> int | None:
@@ -111,7 +114,7 @@
     return int(text)
 
 
-def _read(env: Mapping[str, str]) -> dict[str, Any]:
+def _read_json(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG: is not set")
@@ -126,38 +129,17 @@
     return raw
 
 
-def _mapping(raw: dict[str, Any], field: str) -> dict[str, Any]:
-    value = raw.get(field, {})
-    if not isinstance(value, dict):
-        raise ConfigError(f"{field}: must be a JSON object")
-    return value
-
-
-def _known(known: dict[str, Any]) -> dict[str, Any]:
+def _known(known: Any) -> dict[str, Any]:
+    if not isinstance(known, dict):
+        raise ConfigError("known: must be a JSON object")
     rev, targets = known.get("rev", 0), known.get("targets", [])
     if not isinstance(rev, int) or not isinstance(targets, list):
         raise ConfigError("known: must hold a whole number rev and a list targets")
     return {"rev": rev, "targets": targets}
 
 
-def _number(limits: dict[str, Any], field: str, default: float) -> float:
-    value = limits.get(field, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value <= 0:
-        raise ConfigError(f"limits.{field}: must be a number above 0, not {value!r}")
-    return value
-
-
-def _seed(value: Any) -> int:
+def _seed(value: int | str) -> int:
     try:
-        return int(value, 16) if isinstance(value, str) else int(value)
-    except (TypeError, ValueError):
+        return int(value, 16) if isinstance(value, str) else value
+    except ValueError:
         raise ConfigError(f"seed: must be a number or hex digits, not {value!r}") from None
-
-
-def _settings(given: dict[str, Any]) -> Settings:
-    if not given:
-        raise ConfigError("settings: lacks")
-    try:
-        return wire.read_settings(json.dumps(given))
-    except ValueError as error:
-        raise ConfigError(f"settings: {error}") from None
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import json
-import logging
 import random
 from collections.abc import Callable
 from typing import Any
 
+from hopmill import logs
 from hopmill.net.config import Address
 from hopmill.net.http import Connection, Exchange
 
@@ -17,7 +17,7 @@
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try, for one courier alone
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
 BATCH = 200  # notices in one request
-log = logging.getLogger(__name__)
+log = logs.part("discovery")
 
 
 class Backoff:
@@ -62,7 +62,7 @@
             self.connection = Connection(self.loop, self.address)
             self.connection.connect(self._connected)
         except OSError as error:
-            log.warning("discovery: %s", error)
+            log.warning("discovery.unreachable", error=error)
             self.after(self.backoff.next(), self.open)
             return
         self.after(CONNECT_S, self.open)
@@ -122,7 +122,7 @@
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
         if status != 200:
-            log.warning("discovery: watch answered %d", status)
+            log.warning("discovery.turned_down", status=status)
             self.retry()
 
     def data(self, data: bytes) -> None:
@@ -139,7 +139,7 @@
             if not isinstance(targets, list):
                 raise ValueError("targets")
         except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
-            log.error("discovery: a line that can't be read: %r", error)
+            log.error("discovery.unreadable", error=error)
             self.rev = 0  # what it said is lost: ask for all anew
             self.retry()
             return
@@ -211,10 +211,10 @@
         elif self.status == 400 and len(self.sent) > 1:  # find the line that can't be read
             self.most = len(self.sent) // 2
         elif self.status == 400:
-            log.error("a notice was turned down: %r", self.waiting[self.sent[0]])
+            log.error("notice.turned_down", text=self.waiting[self.sent[0]])
             self._forget()
         else:
-            log.warning("notices answered %d", self.status)
+            log.warning("notice.not_accepted", status=self.status)
             self.retry()
             return
         self._next()
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import ipaddress
-import logging
 import math
 import os
 import socket
@@ -13,14 +12,16 @@
 from typing import Any
 
 from hopmill import interface as i
+from hopmill import logs, observe
 from hopmill.brain import Courier
 from hopmill.net.accept import listening_socket
 from hopmill.net.calls import Calls, Hooks, Item, Outcome
 from hopmill.net.clients import BACKLOG, BadRequest, ClientServer, Put, Reply
 from hopmill.net.config import Address, Config, ConfigError, Options, parse_address
 from hopmill.net.discovery import Notices, Watch
-from hopmill.net.operator import Door, Routes
-from hopmill.net.pool import ASKED, Pool
+from hopmill.net.observer import Observer
+from hopmill.net.operator import Door, Page, Routes
+from hopmill.net.pool import ASKED, MOST_ROWS, Pool
 from hopmill.net.resp import MAX_REQUEST
 from hopmill.net.state import Held, Journal
 from hopmill.net.upgrade import Cargo, Link, NotHandedOver, Owner, hand_over
@@ -40,7 +41,7 @@
 LAST_TURNS = 5  # taken before a hand-over, until nothing has come in
 AGAIN_S = 1.0  # after one that failed, until the next is tried: the loop stands still in each
 SPARE_FDS = 24  # what a new process has open before it is given anything
-log = logging.getLogger(__name__)
+log, messages_log, policy_log = logs.part("courier"), logs.part("messages"), logs.part("policy")
 
 
 class Host:
@@ -88,11 +89,17 @@
         self.notices = Notices(loop, config.discovery, self._accepted)
         self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed, self.s.couriers)
         self.options = Options()
+        self.observer = Observer(self.s)
+        self.metrics: Any = None  # counted only while the operators' door is open
+        self.due = 0  # when the next turn was to begin, in us of the monotonic clock
         self.moved_to: Address | None = None  # where discovery went with a changed configuration
         self.door = Door(Routes(("GET", "/healthcheck", self._healthcheck),
                                 ("POST", "/healthcheck/fail", lambda: self._drain(True)),
                                 ("POST", "/healthcheck/ok", lambda: self._drain(False)),
-                                ("GET", "/connections", lambda: (200, self.pool.figures(self._uid))),
+                                ("GET", "/metrics", self._metrics),
+                                ("GET", "/endpoints", self._endpoints),
+                                ("GET", "/lanes", self._lanes),
+                                ("GET", "/connections", lambda: (200, self.pool.figures(self.uid))),
                                 ("GET", "/connections/*", self._connections),
                                 ("GET", "/zones", self._zones),
                                 ("POST", "/zones/*/maint", lambda name: self._set_zone_by_hand(name, True)),
@@ -120,6 +127,7 @@
         self.watch.open()
         port = self.clients.listen(self._listening_socket())
         if self.config.operator:
+            self._count()
             self.door.listen(self.config.operator)
         if carried:
             self._resume_connections(carried)
@@ -148,7 +156,7 @@
         try:
             self.link = Link(self.owner.folder)
         except OSError as error:  # it serves all the same; an upgrade then waits for its end
-            log.error("upgrade: can't be handed over: %s", error)
+            log.error("upgrade.not_offered", error=error)
             return
         self.loop.add_reader(self.link.sock, self._asked_to_hand_over)
 
@@ -175,12 +183,12 @@
             # From here on the loop stands still: nothing else happens in this process.
             hand_over(sock, self._cargo(), self.owner, self.leave)
         except NotHandedOver as error:
-            log.error("upgrade: not handed over, going on: %s", error)
+            log.error("upgrade.not_handed_over", error=error)
         except Exception:  # whatever it was, this process is still the owner
-            log.exception("upgrade: not handed over, going on")
+            log.exception("upgrade.not_handed_over")
         sock.close()
         self.handing_over, self.no_upgrade_until = None, self.loop.time() + AGAIN_S
-        log.warning("upgrade: stood still for %.3f s", self.loop.time() - began)
+        log.warning("upgrade.stood_still", seconds=round(self.loop.time() - began, 3))
         for acceptor in acceptors:
             if acceptor.open:
                 acceptor.start()
@@ -267,7 +275,9 @@
         if self.scheduled:
             return
         self.scheduled = True
-        early = self.last_turn + self.s.tick_us - self.clock()
+        now = self.clock()
+        early = self.last_turn + self.s.tick_us - now
+        self.due = now + max(0, early)
         if early <= 0:
             self.loop.call_soon(self.turn)
         else:
@@ -276,6 +286,7 @@
     def turn(self) -> None:
         self.scheduled = False
         self.last_turn = now = self.clock()
+        late, self.due = now - (self.due or now), 0
         events: list[i.Event] = [i.Connections(*news) for news in self.pool.news()]
         events += self.events
         self.events = []
@@ -284,20 +295,23 @@
         try:
             actions: Iterable[i.Action] = self.courier.handle(now, events)
         except Exception:  # one bad turn must not end the process; each message still has its guard
-            log.exception("the decision module failed on %d events", len(events))
+            log.exception("turn.failed", count=len(events))
             actions = [i.Fail(n) for n in arrived]
         try:
             self._carry_out(list(actions), arrived)
         except Exception:
-            log.exception("actions failed")
+            log.exception("actions.failed", count=len(actions))
             for _, replies in arrived.values():
                 for reply in replies:
                     reply.send(b"-ERR internal error\r\n")
+        if self.metrics:
+            self.metrics.turn((self.clock() - now) / 1e6, late / 1e6)
 
     def _carry_out(self, actions: list[i.Action], arrived: dict[int, tuple[Held, list[Reply]]]) -> None:
         for a in actions:
             if isinstance(a, (i.Refuse, i.Fail)) and a.message in arrived:
-                _, replies = arrived.pop(a.message)
+                m, replies = arrived.pop(a.message)
+                self.observer.refused(m, a.retry_after_us if isinstance(a, i.Refuse) else 0)
                 for reply in replies:
                     reply.send(refusal(a.retry_after_us) if isinstance(a, i.Refuse) else b"-ERR failed\r\n")
         for m, replies in arrived.values():
@@ -321,7 +335,7 @@
             elif isinstance(a, i.Probe):
                 self.calls.probe(a.endpoint)
             elif isinstance(a, i.Log):
-                log.info("%s", a.text)
+                policy_log.info("policy", text=a.text)
         for endpoint, items in bundles.items():
             most = self._batch(endpoint)
             for at in range(0, len(items), most):
@@ -358,6 +372,7 @@
         self._replace(m)
         self.arrived[m.number] = (m, [reply])
         self.arriving[m.id] = m.number
+        self.observer.put(m, put.life_ms)
         self.tell(self._arrival(m))
 
     def _known(self, ident: str) -> bool:
@@ -384,11 +399,12 @@
         try:
             self.journal.take(m)
         except OSError as error:
-            log.error("not taken on: %s", error)
+            messages_log.error("message.not_taken", message=m.id, error=error)
             text = refusal(self.courier.come_back_us())
             self.tell(i.MessageGone(m.number))
         else:
             self._guard(m)
+            self.observer.taken(m)
         for reply in replies:
             reply.send(text)
 
@@ -399,7 +415,7 @@
     def _overdue(self, number: int) -> None:
         m = self.journal.held.get(number)
         if m and not m.status:
-            log.error("message %s was overdue", m.id)
+            messages_log.error("message.overdue", message=m.id)
             self.tell(i.MessageGone(number))
             self._end(m, "undeliverable", 0)
 
@@ -419,10 +435,11 @@
         try:
             self.journal.final(m.number, status, again_ms)
         except OSError as error:  # sent all the same: to end it once more after a restart does no harm
-            log.error("journal: %s", error)
+            log.error("journal.failed", error=error)
             m.status, m.again_ms = status, again_ms
         self._unguard(m.number)
         self.attempts.pop(m.number, None)
+        self.observer.over(m, status, again_ms)
         self.notices.add(m.number, m.id, status, again_ms)
 
     def _unguard(self, number: int) -> None:
@@ -430,6 +447,9 @@
             guard.cancel()
 
     def _accepted(self, numbers: list[int]) -> None:
+        if messages_log.debugs:
+            for m in (self.journal.held[n] for n in numbers if n in self.journal.held):
+                self.observer.told(m)
         self._note(self.journal.told, numbers)
         self._maybe_exit()
 
@@ -438,7 +458,7 @@
         try:
             write(*args)
         except OSError as error:
-            log.error("journal: %s", error)
+            log.error("journal.failed", error=error)
 
     # Calls
 
@@ -454,6 +474,8 @@
             self.tell(i.AttemptEnded(a.message, attempt, a.endpoint, i.Result.MOOT, 0, m is None))
             return
         item = Item(m.number, attempt, m.id, m.key, m.body, a.timeout_us)
+        if messages_log.debugs:
+            self.observer.sent(m, attempt, self.uid(a.endpoint), a.timeout_us)
         if self._batch(a.endpoint) > 1:
             bundles.setdefault(a.endpoint, []).append(item)
         else:
@@ -467,7 +489,7 @@
         try:
             self.calls.send(endpoint, items)
         except Exception:  # its slots and messages must not hang on it
-            log.exception("a call failed")
+            log.exception("call.failed", endpoint=self.uid(endpoint))
             for item in items:
                 if not item.ended:
                     item.ended = True
@@ -501,14 +523,18 @@
         try:
             self.journal.attempt([n.number for n in items], time.time())
         except OSError as error:
-            log.error("journal: %s", error)
+            log.error("journal.failed", error=error)
             return False
         return True
 
     def _ended(self, item: Item, endpoint: int, outcome: Outcome, latency: int) -> None:
         m = self.journal.held.get(item.number)
         over = outcome.over or m is None
+        if m and (self.metrics or messages_log.debugs):
+            self.observer.ended(m, item.attempt, self.uid(endpoint), outcome.result, latency, outcome.wait_us)
         if outcome.over and m:
+            if not m.status:
+                self.observer.over(m, "delivered" if outcome.result is i.Result.OK else "withdrawn")
             self._note(self.journal.done, m.number)
             self._unguard(m.number)
         elif m and item.begun and outcome.result in UNRUN:
@@ -533,7 +559,7 @@
             try:
                 entry, address, boot_ms = self._entry(target)
             except (KeyError, TypeError, ValueError, OverflowError, ConfigError) as error:
-                log.error("discovery: an entry that can't be read: %r", error)
+                log.error("discovery.entry_unreadable", error=error)
                 continue
             entries.append(entry)
             self.entries[entry.endpoint], self.targets[entry.endpoint] = entry, target
@@ -580,7 +606,7 @@
     def set_options(self, options: Options) -> None:
         """Only what changes is told: while a part is off the module never hears of it."""
         if options != self.options:
-            log.info("options: %s", options)
+            log.info("config.options", warm_up=options.warm_up)
             self.options = options
             self.tell(i.WarmUp(options.warm_up))
 
@@ -619,7 +645,7 @@
             self.turn()
         return 200, {"endpoint": uid, "out_by_hand": out}
 
-    def _uid(self, number: int) -> str:
+    def uid(self, number: int) -> str:
         target = self.targets.get(number)
         return str(target["uid"]) if target else f"#{number}"
 
@@ -634,14 +660,43 @@
         names = {number: name for name, number in self.zones.items()}
         return [(names[zone], *span) for zone, span in self.courier.zones.back.items()]
 
-    def _zones(self) -> tuple[int, dict[str, Any]]:
+    def zone_rows(self) -> list[dict[str, Any]]:
+        """For staff: each zone ever named, with its state, share, reason and endpoints."""
         now, listed = self.clock(), [entry.zone for entry in self.entries.values()]
         rows = []
         for name, number in self.zones.items():
             state, share, why = self.courier.zones.state(number, now)
             rows.append({"zone": name, "state": state, "share": round(share, 3), "reason": why,
                          "endpoints": listed.count(number)})
-        return 200, {"zones": rows}
+        return rows
+
+    def _zones(self) -> tuple[int, dict[str, Any]]:
+        return 200, {"zones": self.zone_rows()}
+
+    def _count(self) -> None:
+        """Only here is the library read: what is not asked for costs a courier in service no memory."""
+        from hopmill.net.metrics import HostState, Metrics
+        self.metrics = Metrics(tuple(c.name for c in self.s.classes), HostState(self))
+        self.observer.meters = self.metrics
+
+    def _metrics(self) -> tuple[int, Page]:
+        from hopmill.net.metrics import CONTENT_TYPE
+        return 200, Page(CONTENT_TYPE, self.metrics.text())
+
+    def _endpoints(self) -> tuple[int, dict[str, Any]]:
+        names = {number: name for name, number in self.zones.items()}
+        rows = observe.endpoint_rows(self.courier, self.uid)
+        return 200, {"endpoints": [row | {"zone": names.get(row["zone"])} for row in rows[:MOST_ROWS]],
+                     "not_shown": max(0, len(rows) - MOST_ROWS)}
+
+    def _lanes(self) -> tuple[int, dict[str, Any]]:
+        rows = list(observe.lanes(self.courier, self.clock()))
+        return 200, {"lanes": [{"partner": row.partner,
+                                "endpoint": None if row.endpoint is None else self.uid(row.endpoint),
+                                "queued": row.queued, "out": row.out, "window": round(row.window, 2),
+                                "pace": round(row.pace, 3), "part": round(row.part, 3),
+                                "refused": round(row.refused, 3), "wait_ms": row.wait_us // 1000}
+                               for row in rows[:MOST_ROWS]], "not_shown": max(0, len(rows) - MOST_ROWS)}
 
     def _set_zone_by_hand(self, name: str, out: bool) -> tuple[int, dict[str, Any]]:
         """Recorded, then done, then answered: nothing new starts there after the yes."""
--- /dev/null
+++ b/hopmill/net/metrics.py
@@ -0,0 +1,152 @@
+"""The figures behind GET /metrics, in the Prometheus text format and a registry of their own.
+
+Labels are bounded: classes, tenants and kinds come from the settings; partners and routes are told apart up
+to MOST_NAMES, and from there on counted together as "other".
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from hopmill import observe
+
+if TYPE_CHECKING:
+    from hopmill.net.host import Host
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+MOST_NAMES = 256
+LATENCY_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
+TURN_S = (0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1)
+OTHER = "other"
+
+
+class Names:
+    """At most so many label values; each one after them is the same."""
+
+    def __init__(self, most: int = MOST_NAMES) -> None:
+        self.most, self.known = most, set[int]()
+
+    def label(self, number: int) -> str:
+        if number not in self.known:
+            if len(self.known) >= self.most:
+                return OTHER
+            self.known.add(number)
+        return str(number)
+
+
+class Metrics:
+    """Counts what the observer tells; the rest is read from the host when somebody asks."""
+
+    def __init__(self, classes: tuple[str, ...], state: Collector | None = None) -> None:
+        """classes: their names, in the settings' order. state: a collector of what only has a present."""
+        self.registry = registry = CollectorRegistry(auto_describe=False)
+        self.classes, self.partners = classes, Names()
+        self.messages = Counter("hopmill_messages", "Messages by class and what became of them.",
+                                ["cls", "end"], registry=registry)
+        self.message_s = Histogram("hopmill_message_seconds", "From taken on to its end.", ["cls", "end"],
+                                   buckets=LATENCY_S, registry=registry)
+        self.calls = Counter("hopmill_attempts", "Attempts that ended, by partner and result.",
+                             ["partner", "result"], registry=registry)
+        self.call_s = Histogram("hopmill_attempt_seconds", "From an attempt's start to its end.", ["partner"],
+                                buckets=LATENCY_S, registry=registry)
+        self.turn_s = Histogram("hopmill_turn_seconds", "Time that a turn takes, its effects included.",
+                                buckets=TURN_S, registry=registry)
+        self.lag_s = Histogram("hopmill_loop_lag_seconds", "How late turns begin.", buckets=TURN_S,
+                               registry=registry)
+        if state:
+            registry.register(state)
+
+    def message(self, cls: int, end: str, latency_s: float | None = None) -> None:
+        name = self.classes[cls]
+        self.messages.labels(name, end).inc()
+        if latency_s is not None:
+            self.message_s.labels(name, end).observe(latency_s)
+
+    def call(self, partner: int, result: str, latency_s: float) -> None:
+        label = self.partners.label(partner)
+        self.calls.labels(label, result).inc()
+        self.call_s.labels(label).observe(latency_s)
+
+    def turn(self, seconds: float, late_s: float) -> None:
+        self.turn_s.observe(seconds)
+        self.lag_s.observe(max(0.0, late_s))
+
+    def text(self) -> bytes:
+        return generate_latest(self.registry)
+
+
+class HostState(Collector):
+    """What the host holds at the moment of asking."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+
+    def collect(self) -> Iterator[Metric]:
+        host = self.host
+        for name, text, value in (
+                ("hopmill_messages_held", "Messages taken on and not ended.",
+                 sum(not m.status for m in host.journal.held.values())),
+                ("hopmill_notices_owed", "Notices that the platform has not accepted.",
+                 len(host.notices.waiting)),
+                ("hopmill_slots_used", "Calls in flight.", host.courier.out),
+                ("hopmill_slots", "Calls that may be in flight.", host.s.slots),
+                ("hopmill_journal_bytes", "Size of the journal.", host.journal.size),
+                ("hopmill_journal_limit_bytes", "What the folder may hold.", host.journal.limit),
+                ("hopmill_clients", "Clients' connections.", len(host.clients.clients)),
+                ("hopmill_drained", "1 while an operator has it drained.", int(host.clients.drained))):
+            yield GaugeMetricFamily(name, text, value=value)
+        yield from self._lanes()
+        yield from self._by("hopmill_circuits", "Circuits by state.", "state", observe.circuits(host.courier))
+        yield from self._zones()
+        yield from self._connections()
+
+    def _lanes(self) -> Iterator[Metric]:
+        host, names = self.host, ["partner", "endpoint"]
+        columns: list[tuple[Metric, Callable[[observe.LaneRow], float]]] = [
+            (GaugeMetricFamily(f"hopmill_lane_{name}", text, labels=names), value) for name, text, value in (
+                ("queued", "Messages that wait, of the whole partner.", lambda row: row.queued),
+                ("out", "Calls in flight.", lambda row: row.out),
+                ("window", "Calls that may be in flight; 0 where a pace holds instead.",
+                 lambda row: row.window),
+                ("pace", "Calls a second it is held to, 0 if none.", lambda row: row.pace),
+                ("part", "This courier's part of the limit, calls a second.", lambda row: row.part),
+                ("refused_ratio", "Share of its calls refused lately.", lambda row: row.refused),
+                ("wait_seconds", "Until a told wait ends.", lambda row: row.wait_us / 1e6))]
+        for count, row in enumerate(observe.lanes(host.courier, host.clock())):
+            if count >= MOST_NAMES:
+                break
+            route = "" if row.endpoint is None else host.uid(row.endpoint)
+            for family, value in columns:
+                family.add_metric([str(row.partner), route], value(row))
+        for family, _ in columns:
+            yield family
+
+    def _zones(self) -> Iterator[Metric]:
+        share = GaugeMetricFamily("hopmill_zone_share", "Share of the traffic that a zone may get.",
+                                  labels=["zone", "state"])
+        for row in self.host.zone_rows():
+            share.add_metric([row["zone"], row["state"]], row["share"])
+        yield share
+
+    def _connections(self) -> Iterator[Metric]:
+        totals, pool = self.host.pool.totals(), self.host.pool
+        opened, reused = totals.pop("opened", 0), totals.pop("reused", 0)
+        yield CounterMetricFamily("hopmill_connections_opened", "Connections to endpoints.", value=opened)
+        yield CounterMetricFamily("hopmill_connections_reused", "Calls on one that was idle.", value=reused)
+        closed = CounterMetricFamily("hopmill_connections_closed", "By reason.", labels=["reason"])
+        for reason, count in totals.items():
+            closed.add_metric([reason], count)
+        yield closed
+        yield GaugeMetricFamily("hopmill_connections_idle", "Idle ones.", value=len(pool.idle))
+
+    @staticmethod
+    def _by(name: str, text: str, label: str, counts: dict[str, int]) -> Iterator[Metric]:
+        family = GaugeMetricFamily(name, text, labels=[label])
+        for key, count in counts.items():
+            family.add_metric([key], count)
+        yield family
--- a/hopmill/net/operator.py
+++ b/hopmill/net/operator.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import json
-import logging
 import re
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import unquote, urlsplit
 
 import h11
 
+from hopmill import logs
 from hopmill.net.accept import Acceptor, listening_socket
 from hopmill.net.config import Address
 from hopmill.net.upgrade import Cargo
@@ -23,10 +24,20 @@
 MAX_CALLS, SHARE = 32, 1 / 16  # connections at once, and their share of the descriptors
 BACKLOG = 64
 FORMER_S = 5.0  # after an upgrade the former address is answered for so long
-log = logging.getLogger(__name__)
+log = logs.part("door")
 
+
+@dataclass(frozen=True)
+class Page:
+    """An answer that is not JSON."""
+
+    content_type: str
+    text: bytes
+
+
+Body = dict[str, Any] | Page
 # What a call does: it is given the words of the path that the pattern leaves open.
-Handler = Callable[..., tuple[int, dict[str, Any]]]
+Handler = Callable[..., tuple[int, Body]]
 
 
 class Refused(Exception):
@@ -44,7 +55,7 @@
         self.rows = [(method, re.compile(re.escape(path).replace(r"\*", "([^/]+)")), handler)
                      for method, path, handler in rows]
 
-    def answer(self, method: str, target: str) -> tuple[int, dict[str, Any]]:
+    def answer(self, method: str, target: str) -> tuple[int, Body]:
         try:
             path = urlsplit(target).path
         except ValueError:
@@ -132,15 +143,16 @@
         except Refused as error:
             status, body, headers = error.status, {"error": str(error)}, error.headers
         except OSError as error:  # what must last could not be recorded, so it is not done
-            log.error("operator: %s %s: %s", method, target, error)
+            log.error("door.not_recorded", method=method, path=target[:200], error=error)
             status, body, headers = 503, {"error": "can't be recorded"}, {}
-        log.info("operator: %s %.200s: %d", method, target, status)
+        log.info("door.call", method=method, path=target[:200], status=status)
         self._answer(status, body, headers)
 
-    def _answer(self, status: int, body: dict[str, Any], headers: dict[str, str] | None = None) -> None:
+    def _answer(self, status: int, body: Body, headers: dict[str, str] | None = None) -> None:
         self.answered = True
-        text = json.dumps(body).encode() + b"\n"
-        fields = [("Content-Type", "application/json"), ("Content-Length", str(len(text))),
+        page = body if isinstance(body, Page) else Page("application/json", json.dumps(body).encode() + b"\n")
+        text = page.text
+        fields = [("Content-Type", page.content_type), ("Content-Length", str(len(text))),
                   ("Connection", "close"), *(headers or {}).items()]
         try:
             parts = [self.http.send(h11.Response(status_code=status, headers=fields)),
--- a/hopmill/net/pool.py
+++ b/hopmill/net/pool.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import errno
-import logging
 import math
 import socket
 import time
@@ -17,13 +16,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from hopmill import logs
 from hopmill.net.config import Address
 from hopmill.net.http import LOCAL_ERRORS, Connection
 from hopmill.net.upgrade import Cargo
 
 AGAIN_S = 0.05  # with no descriptor left, until the next try: others in this process free some too
 MOST_ROWS = 100  # endpoints that staff are shown in one answer
-log = logging.getLogger(__name__)
+log = logs.part("pool")
 
 # Why a connection was closed, as staff are told.
 AGED, SURPLUS, ROOM = "aged", "over the endpoint's number", "room for others"
@@ -273,7 +273,7 @@
             self._open(loan)
         else:
             if not self.waiting:
-                log.error("no descriptor for a call: %s", error)
+                log.error("connection.no_descriptor", error=error)
             loan.timer = self.loop.call_later(self.connect_s, self._waited, loan, error)
             self.waiting.append(loan)
             self._retry_in(AGAIN_S)
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import logging
 import os
 import struct
 import time
@@ -17,6 +16,8 @@
 
 import msgpack
 
+from hopmill import logs
+
 FRAME = struct.Struct(">II")  # length, checksum
 NAME, FRESH = "messages.journal", "messages.journal.new"
 BLOCK = 512  # files count in whole blocks
@@ -25,7 +26,7 @@
 OVER_S = 30.0  # how long the id of a message that is over is known
 KEYS_S = 60.0  # and an idempotency key past its window
 SMALL = 1 << 17  # a file under this is not worth compacting
-log = logging.getLogger(__name__)
+log = logs.part("journal")
 
 
 class JournalFull(OSError):
@@ -80,7 +81,7 @@
         try:
             records.append(msgpack.unpackb(payload))
         except (ValueError, msgpack.exceptions.UnpackException) as error:
-            log.error("journal: a record that can't be read: %r", error)
+            log.error("journal.unreadable", error=error)
         at += FRAME.size + size
     return records, at
 
@@ -111,13 +112,13 @@
         data = self.path.read_bytes()
         records, end = parse(data)
         if end < len(data):
-            log.warning("journal: cut off a torn tail of %d bytes", len(data) - end)
+            log.warning("journal.tail_cut", bytes=len(data) - end)
             os.ftruncate(self.file, end)
         for record in records:
             try:
                 self._apply(record)
             except (TypeError, ValueError, LookupError, AttributeError) as error:
-                log.error("journal: a record that can't be used: %r", error)
+                log.error("journal.unusable", error=error)
         return end
 
     def close(self) -> None:
@@ -276,7 +277,7 @@
                 raise JournalFull("the disk is full")
             os.rename(self.fresh, self.path)
         except OSError as error:  # the old file is whole: go on with it
-            log.error("journal: not compacted: %s", error)
+            log.error("journal.not_compacted", error=error)
             os.close(file)
             self.fresh.unlink(missing_ok=True)
             return
--- a/hopmill/net/upgrade.py
+++ b/hopmill/net/upgrade.py
@@ -8,7 +8,6 @@
 import contextlib
 import errno
 import fcntl
-import logging
 import os
 import socket
 import struct
@@ -20,6 +19,8 @@
 
 import msgpack
 
+from hopmill import logs
+
 LOCK, LINK = "owner.lock", "upgrade.sock"
 STEP_S = 0.5  # what each side gives the other for a step: the owner stands still meanwhile
 FREE_S, OFTEN_S = 60.0, 0.05  # how long the lock is waited for beside an owner that hands over, and how often
@@ -28,7 +29,7 @@
 MOST_FDS = 200  # in one message; the kernel takes 253
 MAX_FRAME = 64 << 20
 MAX_PATH = 100  # bytes of a socket's path; the kernel takes 107
-log = logging.getLogger(__name__)
+log = logs.part("upgrade")
 
 
 class NotHandedOver(OSError):
@@ -86,7 +87,7 @@
             except (OSError, ValueError, msgpack.exceptions.UnpackException) as error:
                 if str(error) != said:
                     said = str(error)
-                    log.warning("upgrade: not taken over yet: %s", said)
+                    log.warning("upgrade.not_taken_over", error=said)
         time.sleep(OFTEN_S)
     raise OSError(f"{folder / LOCK} is held by another process")
 
--- /dev/null
+++ b/hopmill/serve.py
@@ -0,0 +1,84 @@
+"""The real courier's process: signals and wiring."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from hopmill import document as doc
+from hopmill import logs
+from hopmill.net.config import Config, ConfigError, Source, load, options
+from hopmill.net.host import Host
+from hopmill.net.upgrade import Cargo, Owner, become_owner
+
+log = logs.part("courier")
+config_log = logs.part("config")
+# What a running courier takes over from a changed file; everything else waits for its next start.
+LIVE = ("discovery", "connections.", "log.")
+
+
+class Reloader:
+    """SIGHUP: the configuration was replaced. What can't be read of it changes nothing."""
+
+    def __init__(self, host: Host, source: Source) -> None:
+        self.host, self.source = host, source
+        self.document = source.read()[0]
+
+    def __call__(self) -> None:
+        try:
+            self._take(self.source.read()[0])
+        except ConfigError as error:
+            config_log.error("config.not_used", error=error)
+        try:
+            address = self.source.discovery()
+        except ConfigError as error:
+            config_log.error("config.not_used", error=error)
+            return
+        config_log.info("config.discovery", address="{}:{}".format(*address))
+        self.host.move_discovery(address)
+
+    def _take(self, document: doc.Document) -> None:
+        for path, before, after in doc.changes(self.document, document):
+            if path != "seed":  # is new with each start
+                event = "config.changed" if path.startswith(LIVE) else "config.needs_restart"
+                config_log.info(event, path=path, before=before, after=after)
+        self.document = document
+        configure_logs(document.log)
+        self.host.set_options(options(document))
+
+
+def configure_logs(log: doc.Log) -> None:
+    logs.configure(log.format, log.level, log.levels, log.lines_per_s)
+
+
+async def _serve(config: Config, source: Source, owner: Owner, cargo: Cargo | None) -> None:
+    loop = asyncio.get_running_loop()
+    host = Host(loop, config, owner, cargo)
+    loop.add_signal_handler(signal.SIGTERM, host.terminate)
+    loop.add_signal_handler(signal.SIGINT, host.terminate)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(host, source))
+    port = host.start()
+    log.info("ready", name=config.name, port=port, restored=len(host.journal.held))
+    await host.closed
+    host.close()
+
+
+def run(file: Path | None = None) -> int:
+    """Serve until SIGTERM; returns the exit status: 2 for a bad configuration, 1 for what can't be opened."""
+    source = Source(os.environ, file)
+    try:
+        config = load(os.environ, file)
+    except ConfigError as error:
+        print(f"hopmill: {error}", file=sys.stderr)
+        return 2
+    configure_logs(config.log)
+    try:
+        owner, cargo = become_owner(config.state, config.listen_fd is not None)
+        asyncio.run(_serve(config, source, owner, cargo))
+    except OSError as error:
+        print(f"hopmill: cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -296,8 +296,8 @@
         while True:
             line = (await bounded(process.stderr.readline())).decode()
             assert line, "the courier ended"
-            if "is ready on port" in line:
-                return process, int(line.split("is ready on port ")[1].split()[0])
+            if " ready " in line:
+                return process, int(line.split(" port=")[1].split()[0])
 
     async def launch(self, **more):
         env = {**os.environ, **self.env()}
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import json
-import os
 import time
 from dataclasses import replace
 
 import pytest
 from loopback import Client, Discovery, Fleet, answer, bounded, courier, settings
 
-from hopmill.__main__ import reload
 from hopmill.interface import EndpointState
-from hopmill.net.config import ConfigError, Options, load
+from hopmill.net.config import ConfigError, Options, Source, load
+from hopmill.serve import Reloader
 
 
 @courier
@@ -311,15 +310,14 @@
     await fleet.inside()
     path = fleet.folder / "config.json"
     config = json.loads(path.read_text())
+    reload = Reloader(fleet.host, Source({"LB_CONFIG": str(path)}))
     for given, on in (({}, False), ({"warm_up": True}, True), ({"warm_up": "yes"}, True), ({}, False)):
         path.write_text(json.dumps({**config, "connections": given,
                                     "discovery": f"127.0.0.1:{fleet.discovery.port}"}))
-        os.environ["LB_CONFIG"] = str(path)
-        reload(fleet.host)
+        reload()
         fleet.host.turn()
         assert fleet.host.courier.warm_up is on
         assert fleet.host.moved_to  # a wrong option does not keep it from following discovery
-    del os.environ["LB_CONFIG"]
 
 
 def test_settings_that_cannot_be_are_named(tmp_path):
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -223,7 +223,7 @@
     config = json.loads(path.read_text())
     path.write_text("{")
     fleet.process.send_signal(signal.SIGHUP)  # one that can't be read changes nothing
-    while "is not used" not in (line := (await bounded(fleet.process.stderr.readline())).decode()):
+    while "config.not_used" not in (line := (await bounded(fleet.process.stderr.readline())).decode()):
         assert line, "the courier ended"
     path.write_text(json.dumps({**config, "discovery": f"127.0.0.1:{fleet.discovery.port}"}))
     fleet.process.send_signal(signal.SIGHUP)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -114,7 +114,7 @@
     assert await client.put("first") == "+OK"
     for read in (0, 4, 64):  # at several steps
         await died_having_read(read, fleet.folder / "state" / "upgrade.sock")
-        while b"not handed over" not in await bounded(fleet.process.stderr.readline()):
+        while b"upgrade.not_handed_over" not in await bounded(fleet.process.stderr.readline()):
             pass
         assert await (await Client().open(fleet.port)).put(f"m{read}") == "+OK"
     assert await (await Client().open(fleet.port)).put("late") == "+OK"
@@ -133,12 +133,12 @@
     assert await client.put("m", dest=5) == "+OK"
     fleet.process.send_signal(signal.SIGSTOP)  # it never answers the new process
     second = await fleet.launch()
-    while b"not taken over yet" not in (line := await bounded(second.stderr.readline())):
+    while b"upgrade.not_taken_over" not in (line := await bounded(second.stderr.readline())):
         assert line
     await fleet.kill()
-    while b"is ready" not in (line := await bounded(second.stderr.readline())):
+    while b" ready " not in (line := await bounded(second.stderr.readline())):
         assert line
-    assert b"1 messages restored" in line
+    assert b"restored=1" in line
     e = await fleet.endpoint("a", dest=5)
     fleet.discovery.change("a")
     assert (await e.call())[1]["x-request-id"] == "m"
