Give the courier commands, a demo on stand-ins, metrics for dashboards and a page of logs

Need: staff could start it only by five variables and a JSON file; nothing ran the main job from a fresh clone.

--- a/hopmill/cli/__init__.py
+++ b/hopmill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands. app.py names them; each reads the rest when it runs."""
--- /dev/null
+++ b/hopmill/cli/app.py
@@ -0,0 +1,152 @@
+"""The commands. Each reads what it needs when it runs: serving must stay lean."""
+
+from __future__ import annotations
+
+import difflib
+import json
+import sys
+from importlib.metadata import PackageNotFoundError, version
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+app = typer.Typer(no_args_is_help=False, rich_markup_mode="rich", pretty_exceptions_enable=False)
+journal_app = typer.Typer(help="What a courier's folder holds; read only, also beside a running courier.",
+                          no_args_is_help=True)
+app.add_typer(journal_app, name="journal")
+
+ACTIONS = {"health": ("GET", "/healthcheck"), "drain": ("POST", "/healthcheck/fail"),
+           "undrain": ("POST", "/healthcheck/ok"), "endpoints": ("GET", "/endpoints"),
+           "lanes": ("GET", "/lanes"), "zones": ("GET", "/zones"), "connections": ("GET", "/connections"),
+           "out": ("POST", "/endpoints/{}/maint"), "back": ("POST", "/endpoints/{}/ready"),
+           "zone-out": ("POST", "/zones/{}/maint"), "zone-back": ("POST", "/zones/{}/ready")}
+JsonOption = Annotated[bool, typer.Option("--json", help="Machine-readable.")]
+
+
+def fail(text: str, status: int = 2) -> typer.Exit:
+    print(f"hopmill: {text}", file=sys.stderr)
+    return typer.Exit(status)
+
+
+def _version(asked: bool) -> None:
+    if asked:
+        try:
+            print(f"hopmill {version('hopmill')}")
+        except PackageNotFoundError:
+            print("hopmill, from a checkout that is not installed")
+        raise typer.Exit
+
+
+@app.callback()
+def root(show: Annotated[bool, typer.Option("--version", callback=_version, is_eager=True,
+                                            help="Say which and end.")] = False) -> None:
+    """A courier: takes messages, each for one outside partner, and delivers each by a call.
+
+    Without a command it serves under the platform's environment."""
+
+
+@app.command(epilog="Example: hopmill serve deploy/courier.example.toml")
+def serve(file: Annotated[Path | None, typer.Argument(help="TOML; else the platform's environment.")] = None
+          ) -> None:
+    """Serve. Where the platform's environment speaks too, it wins."""
+    from hopmill.serve import run
+    raise typer.Exit(run(file))
+
+
+@app.command(epilog="Example: hopmill check deploy/courier.example.toml")
+def check(file: Path, as_json: JsonOption = False) -> None:
+    """Read a configuration, say what holds and what is off. A bad value: one line, exit 2."""
+    from hopmill import document as doc
+    try:
+        document = doc.read_toml(file)
+    except doc.ConfigError as error:
+        raise fail(str(error)) from None
+    rows, off = doc.flat(document), doc.off(document)
+    if as_json:
+        print(json.dumps({"holds": rows, "off": off}, default=str))
+        return
+    for path, value in rows.items():
+        print(f"{path} = {json.dumps(value, default=str)}")
+    for text in off:
+        print(f"off: {text}")
+
+
+@app.command(epilog="Example: hopmill schema > courier.schema.json")
+def schema() -> None:
+    """The JSON schema of the configuration."""
+    import msgspec
+
+    from hopmill.document import Document
+    print(json.dumps(msgspec.json.schema(Document), indent=2))
+
+
+@app.command(epilog="Example: hopmill demo --seconds 5 --trouble zone --json")
+def demo(seconds: Annotated[float, typer.Option(min=1, max=3600, help="How long messages come.")] = 10.0,
+         rate: Annotated[float, typer.Option(min=1, max=2000, help="Messages a second.")] = 100.0,
+         trouble: Annotated[str, typer.Option(help="none, down, silent, shut, restart or zone.")] = "down",
+         couriers: Annotated[int, typer.Option(min=1, max=8)] = 2,
+         seed: Annotated[int, typer.Option(help="Of the load and the world.")] = 1,
+         as_json: JsonOption = False) -> None:
+    """Partners, discovery, couriers and a load on this machine: the main job, from start to account."""
+    from hopmill.cli.demo import run
+    from hopmill.standin.scene import TROUBLES, Options
+    _one_of(trouble, TROUBLES, "trouble")
+    raise typer.Exit(run(Options(seconds, rate, couriers, trouble, seed), as_json))
+
+
+@app.command(epilog="Example: hopmill ctl 127.0.0.1:8600 zone-out hall-a")
+def ctl(address: Annotated[str, typer.Argument(help="HOST:PORT of a courier's door.")],
+        action: Annotated[str, typer.Argument(help=", ".join(ACTIONS), autocompletion=lambda: list(ACTIONS))],
+        name: Annotated[str, typer.Argument(help="Of an endpoint or a zone.")] = "",
+        as_json: JsonOption = False) -> None:
+    """Ask a courier at its operators' door, or tell it something. A no from the courier: exit 1."""
+    from hopmill.cli.door import DoorError, call, lines
+    _one_of(action, tuple(ACTIONS), "action")
+    method, path = ACTIONS[action]
+    if ("{}" in path) != bool(name):
+        raise fail(f"{action} takes {'a name' if '{}' in path else 'no name'}")
+    try:
+        status, body = call(address, method, path, name)
+    except DoorError as error:
+        raise fail(str(error), 1) from None
+    print(json.dumps(body) if as_json else "\n".join(lines(body)))
+    raise typer.Exit(0 if 200 <= status < 300 else 1)
+
+
+@app.command(epilog="Example: hopmill top 127.0.0.1:8600 127.0.0.1:8601 --times 3")
+def top(addresses: Annotated[list[str], typer.Argument(help="HOST:PORT of each courier's door.")],
+        every: Annotated[float, typer.Option(min=0.1, help="Seconds between two looks.")] = 1.0,
+        times: Annotated[int, typer.Option(min=0, help="Looks; 0: until Ctrl-C.")] = 0) -> None:
+    """Several couriers live, by partner and zone."""
+    from hopmill.cli.top import run
+    raise typer.Exit(run(addresses, every, times))
+
+
+@journal_app.command("show", epilog="Example: hopmill journal show /var/lib/hopmill")
+def journal_show(folder: Path, as_json: JsonOption = False) -> None:
+    """The messages that are held, the notices owed, and what staff have left out."""
+    from hopmill.cli.journal import show
+    raise typer.Exit(show(folder, as_json))
+
+
+@journal_app.command("verify", epilog="Example: hopmill journal verify /var/lib/hopmill")
+def journal_verify(folder: Path, as_json: JsonOption = False) -> None:
+    """Read every record. Damage, or records of a version that is not known: exit 1."""
+    from hopmill.cli.journal import verify
+    raise typer.Exit(verify(folder, as_json))
+
+
+def _one_of(given: str, names: tuple[str, ...], what: str) -> None:
+    if given not in names:
+        near: Any = difflib.get_close_matches(given, names, 1)
+        raise fail(f"no such {what}: {given}" + (f"; did you mean {near[0]}?" if near else
+                                                 f"; there are {', '.join(names)}"))
+
+
+def main() -> int:
+    try:
+        app(prog_name="hopmill")
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else 1
+    return 0
--- /dev/null
+++ b/hopmill/cli/door.py
@@ -0,0 +1,58 @@
+"""A client of the operators' door."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from collections.abc import Iterator
+from typing import Any
+from urllib.parse import quote
+
+from hopmill.document import ConfigError
+from hopmill.net.config import parse_address
+
+PATIENCE_S = 3.0  # an answer is owed within one
+
+
+class DoorError(Exception):
+    """No answer that can be read; the text is one line."""
+
+
+def call(address: str, method: str, path: str, name: str = "") -> tuple[int, dict[str, Any]]:
+    """(status, body). DoorError where nobody answers."""
+    try:
+        host, port = parse_address(address, "ADDRESS")
+    except ConfigError as error:
+        raise DoorError(str(error)) from None
+    connection = http.client.HTTPConnection(host, port, timeout=PATIENCE_S)
+    try:
+        connection.request(method, path.format(quote(name, safe="")))
+        answer = connection.getresponse()
+        return answer.status, json.loads(answer.read())
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        raise DoorError(f"{address}: no answer: {error}") from None
+    finally:
+        connection.close()
+
+
+def lines(body: dict[str, Any]) -> Iterator[str]:
+    """For people: a table for rows, else a field a line."""
+    for name, value in body.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            yield from table([dict(row) for row in value])
+        else:
+            yield f"{name}: {_text(value)}"
+
+
+def table(rows: list[dict[str, Any]]) -> Iterator[str]:
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [names] + [[_text(row.get(name)) for name in names] for row in rows]
+    widths = [max(len(row[at]) for row in cells) for at in range(len(names))]
+    for row in cells:
+        yield "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+
+
+def _text(value: Any) -> str:
+    if value is None:
+        return "-"
+    return json.dumps(value) if isinstance(value, (dict, list, bool)) else str(value)
--- a/hopmill/document.py
+++ b/hopmill/document.py
@@ -6,10 +6,8 @@
 
 from __future__ import annotations
 
-import difflib
 import json
 import re
-import tomllib
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -214,6 +212,8 @@
 
 def read_toml(path: Path) -> Document:
     """The file as a Document. ConfigError: one line with the field's path."""
+    import tomllib  # not read in service, whose file is JSON
+
     try:
         raw = tomllib.loads(path.read_bytes().decode())
     except OSError as error:
@@ -242,14 +242,16 @@
     path = where.rstrip("`")
     if found := re.search("(unknown|missing required) field `(.+)`", what):
         path = f"{path}.{found[2]}".lstrip(".")
-        what = "lacks" if found[1] != "unknown" else "no such field"
-        if near := difflib.get_close_matches(found[2], _field_names(), 1) if found[1] == "unknown" else []:
-            what += f"; there is {near[0]}"
+        what = "lacks" if found[1] != "unknown" else "no such field" + _nearest(found[2])
     return f"{path}: {what}" if path else what
 
 
-def _field_names() -> set[str]:
-    return {f.name for struct in Strict.__subclasses__() for f in msgspec.structs.fields(struct)}
+def _nearest(name: str) -> str:
+    import difflib
+
+    known = {f.name for struct in Strict.__subclasses__() for f in msgspec.structs.fields(struct)}
+    near = difflib.get_close_matches(name, known, 1)
+    return f"; there is {near[0]}" if near else ""
 
 
 def problems(document: Document) -> Iterator[str]:
@@ -359,3 +361,13 @@
     before, after = flat(old), flat(new)
     return [(path, before.get(path), after.get(path))
             for path in sorted({*before, *after}) if before.get(path) != after.get(path)]
+
+
+def off(document: Document) -> list[str]:
+    """What is optional and not switched on, one line each."""
+    rows = (("operator", not document.operator, "no door for operators, no metrics"),
+            ("connections.warm_up", not document.connections.warm_up, "no connection is opened early"),
+            ("retries.longest_told_wait_ms", not document.retries.longest_told_wait_ms,
+             "clients are not told when to come again"),
+            ("retries.second_copies", not document.retries.second_copies, "one attempt at a time"))
+    return [f"{path}: {what}" for path, is_off, what in rows if is_off]
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -90,12 +90,11 @@
     return -(-size // BLOCK) * BLOCK
 
 
-class Journal:
-    """Open messages, owed notices and what is remembered of those that are over."""
+class Contents:
+    """What records add up to: open messages, owed notices and what is remembered of those that are over."""
 
-    def __init__(self, folder: Path, limit_bytes: int, key_window_s: float = 0.0) -> None:
-        self.path, self.fresh = folder / NAME, folder / FRESH
-        self.limit, self.key_s = limit_bytes, key_window_s + KEYS_S
+    def __init__(self, key_window_s: float = 0.0) -> None:
+        self.key_s = key_window_s + KEYS_S
         self.held: dict[int, Held] = {}
         self.ids: dict[str, int] = {}
         self.over: dict[str, float] = {}  # id: when it was over
@@ -104,6 +103,79 @@
         self.out_by_hand: set[str] = set()  # endpoints' uids, the same
         self.zones_out: set[str] = set()  # zones' names, the same
         self.live = self.last = 0
+
+    def apply(self, record: list[Any]) -> None:
+        kind = record[0]
+        if kind == "take":
+            m = Held(*record[1:])
+            self.held[m.number], self.ids[m.id] = m, m.number
+            self.last = max(self.last, m.number)
+            self.live += m.bytes
+        elif kind == "try":
+            for number in record[1]:
+                if m := self.held.get(number):
+                    m.ran_at = m.may_have_run_at
+                    m.tries, m.trying_at = m.tries + 1, record[2]
+                    if m.key:
+                        self._remember_key(m.key, m.may_have_run_at)
+        elif kind == "miss":
+            if m := self.held.get(record[1]):
+                m.trying_at = 0.0
+                if m.key and not m.ran_at:
+                    self.live -= EACH * (self.keys.pop(m.key, None) is not None)
+        elif kind == "final":
+            if m := self.held.get(record[1]):
+                self.live -= len(m.body)
+                m.status, m.again_ms, m.body = record[2], record[3], b""
+        elif kind == "over":
+            for number in record[1]:
+                if m := self.held.pop(number, None):
+                    self.ids.pop(m.id, None)
+                    self.live -= m.bytes
+                    self._remember_over(m.id, record[2])
+        elif kind == "drain":
+            self.drained = bool(record[1])
+        elif kind == "hand":
+            self._set(self.out_by_hand, str(record[1]), bool(record[2]))
+        elif kind == "zone":
+            self._set(self.zones_out, str(record[1]), bool(record[2]))
+        elif kind == "known":
+            self.last = max(self.last, record[1])
+            for ident, at in record[2].items():
+                self._remember_over(ident, at)
+            for key, at in record[3].items():
+                self._remember_key(key, at)
+
+    def _set(self, names: set[str], name: str, out: bool) -> None:
+        self.live += (len(name) + EACH) * (out - (name in names))
+        (names.add if out else names.discard)(name)
+
+    def key_ran_at(self, key: str) -> float:
+        """When the first attempt with this key that may have run was sent, 0 if none is known."""
+        at = self.keys.get(key, 0.0) if key else 0.0
+        return at if time.time() - at < self.key_s else 0.0
+
+    def _remember_over(self, ident: str, at: float) -> None:
+        if self.over.pop(ident, None) is None:
+            self.live += EACH
+        self.over[ident] = at  # the newest last
+        # Not only when the file is rewritten: how often that is hangs on the disk limit, not on the ids' age.
+        while at - self.over[oldest := next(iter(self.over))] >= OVER_S:
+            del self.over[oldest]
+            self.live -= EACH
+
+    def _remember_key(self, key: str, at: float) -> None:
+        if key not in self.keys:
+            self.live += EACH
+            self.keys[key] = at
+
+class Journal(Contents):
+    """The same with its file, to which each record is written before it is applied."""
+
+    def __init__(self, folder: Path, limit_bytes: int, key_window_s: float = 0.0) -> None:
+        super().__init__(key_window_s)
+        self.path, self.fresh = folder / NAME, folder / FRESH
+        self.limit = limit_bytes
         self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self.size = self._restore()
@@ -116,7 +188,7 @@
             os.ftruncate(self.file, end)
         for record in records:
             try:
-                self._apply(record)
+                self.apply(record)
             except (TypeError, ValueError, LookupError, AttributeError) as error:
                 log.error("journal.unusable", error=error)
         return end
@@ -181,7 +253,7 @@
             os.ftruncate(self.file, self.size)
             raise JournalFull("the disk is full")
         self.size += written
-        self._apply(record)
+        self.apply(record)
 
     def _room(self, more: int) -> bool:
         """Whether two copies of all that is open, and of this, would stay under the limit."""
@@ -191,71 +263,6 @@
         """Whether a compacted copy could still stand beside the file."""
         return blocks(self.size + more) + blocks(self.live + SPARE_BYTES) <= self.limit
 
-    def _apply(self, record: list[Any]) -> None:
-        kind = record[0]
-        if kind == "take":
-            m = Held(*record[1:])
-            self.held[m.number], self.ids[m.id] = m, m.number
-            self.last = max(self.last, m.number)
-            self.live += m.bytes
-        elif kind == "try":
-            for number in record[1]:
-                if m := self.held.get(number):
-                    m.ran_at = m.may_have_run_at
-                    m.tries, m.trying_at = m.tries + 1, record[2]
-                    if m.key:
-                        self._remember_key(m.key, m.may_have_run_at)
-        elif kind == "miss":
-            if m := self.held.get(record[1]):
-                m.trying_at = 0.0
-                if m.key and not m.ran_at:
-                    self.live -= EACH * (self.keys.pop(m.key, None) is not None)
-        elif kind == "final":
-            if m := self.held.get(record[1]):
-                self.live -= len(m.body)
-                m.status, m.again_ms, m.body = record[2], record[3], b""
-        elif kind == "over":
-            for number in record[1]:
-                if m := self.held.pop(number, None):
-                    self.ids.pop(m.id, None)
-                    self.live -= m.bytes
-                    self._remember_over(m.id, record[2])
-        elif kind == "drain":
-            self.drained = bool(record[1])
-        elif kind == "hand":
-            self._set(self.out_by_hand, str(record[1]), bool(record[2]))
-        elif kind == "zone":
-            self._set(self.zones_out, str(record[1]), bool(record[2]))
-        elif kind == "known":
-            self.last = max(self.last, record[1])
-            for ident, at in record[2].items():
-                self._remember_over(ident, at)
-            for key, at in record[3].items():
-                self._remember_key(key, at)
-
-    def _set(self, names: set[str], name: str, out: bool) -> None:
-        self.live += (len(name) + EACH) * (out - (name in names))
-        (names.add if out else names.discard)(name)
-
-    def key_ran_at(self, key: str) -> float:
-        """When the first attempt with this key that may have run was sent, 0 if none is known."""
-        at = self.keys.get(key, 0.0) if key else 0.0
-        return at if time.time() - at < self.key_s else 0.0
-
-    def _remember_over(self, ident: str, at: float) -> None:
-        if self.over.pop(ident, None) is None:
-            self.live += EACH
-        self.over[ident] = at  # the newest last
-        # Not only when the file is rewritten: how often that is hangs on the disk limit, not on the ids' age.
-        while at - self.over[oldest := next(iter(self.over))] >= OVER_S:
-            del self.over[oldest]
-            self.live -= EACH
-
-    def _remember_key(self, key: str, at: float) -> None:
-        if key not in self.keys:
-            self.live += EACH
-            self.keys[key] = at
-
     def compact(self) -> None:
         """Write what is still needed into a new file and put it in the old one's place."""
         now = time.time()
--- a/hopmill/serve.py
+++ b/hopmill/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -61,6 +62,8 @@
     loop.add_signal_handler(signal.SIGINT, host.terminate)
     loop.add_signal_handler(signal.SIGHUP, Reloader(host, source))
     port = host.start()
+    gc.collect()
+    gc.freeze()  # what is there now stays: full collections need not look at it again
     log.info("ready", name=config.name, port=port, restored=len(host.journal.held))
     await host.closed
     host.close()
--- a/hopmill/standin/__init__.py
+++ b/hopmill/standin/__init__.py
@@ -0,0 +1,11 @@
+"""Stand-ins on loopback for everything around a courier: partners, discovery, clients, and the platform."""
+
+from hopmill.standin.client import Client
+from hopmill.standin.courier import CourierProcess, free_port
+from hopmill.standin.discovery import Discovery
+from hopmill.standin.ledger import Ledger, Result
+from hopmill.standin.load import Load
+from hopmill.standin.partner import Machine, Partner, Plan
+
+__all__ = ["Client", "CourierProcess", "Discovery", "Ledger", "Load", "Machine", "Partner", "Plan", "Result",
+           "free_port"]
--- /dev/null
+++ b/hopmill/standin/courier.py
@@ -0,0 +1,78 @@
+"""Couriers as processes of their own, each with its folder, its port and its door."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from hopmill.standin.client import Client
+from hopmill.standin.server import HOST
+
+READY_S = 20.0
+
+
+def free_port(host: str = HOST) -> int:
+    with socket.create_server((host, 0)) as sock:
+        return sock.getsockname()[1]
+
+
+class CourierProcess:
+    """Started from a TOML file; comes back under its name and port with its folder."""
+
+    def __init__(self, name: str, folder: Path, text: str) -> None:
+        """text: the rest of the file, after what says who and where it is."""
+        self.name, self.folder, self.port, self.door = name, folder, free_port(), free_port()
+        self.process: asyncio.subprocess.Process | None = None
+        self.taking = False  # clients may be sent here
+        state = folder / f"{name}.state"
+        state.mkdir()
+        self.file, self.log = folder / f"{name}.toml", folder / f"{name}.log"
+        self.file.write_text(f'format = 1\nname = "{name}"\nlisten = "{HOST}:{self.port}"\n'
+                             f'operator = "{HOST}:{self.door}"\nstate = "{state}"\n{text}')
+
+    async def start(self) -> None:
+        """Returns once it answers PING. OSError if it ends first."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "hopmill", "serve", str(self.file), stderr=log, stdout=log,
+                stdin=asyncio.subprocess.DEVNULL, start_new_session=True)  # Ctrl-C is the demo's affair
+        async with asyncio.timeout(READY_S):
+            while not await self._pings():
+                if self.process.returncode is not None:
+                    last = self.log.read_text().strip().splitlines()[-1:] or ["no word"]
+                    raise OSError(f"courier {self.name} ended at its start: {last[0]}")
+                await asyncio.sleep(0.02)
+        self.taking = True
+
+    async def _pings(self) -> bool:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(0.5):
+                client = await Client().open(self.port)
+                said = await client.send(client.command(b"PING"))
+                client.close()
+                return said == "+PONG"
+        return False
+
+    async def end(self, how: signal.Signals) -> None:
+        """Wait for its end; a SIGTERM that is not heeded is followed by SIGKILL."""
+        self.taking = False
+        process = self.process
+        if process is None or process.returncode is not None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(how)
+        try:
+            await asyncio.wait_for(process.wait(), 5.0)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
+    def kill(self) -> None:
+        """At once, for the end of a demo."""
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
--- /dev/null
+++ b/hopmill/standin/discovery.py
@@ -0,0 +1,81 @@
+"""A stand-in of discovery's agent: a list that changes, a watch, and the notices."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from hopmill.standin.server import HOST, Server, read_request
+
+EMPTY_S = 2.0  # an empty line comes so often while nothing changes
+
+
+class Discovery(Server):
+    """`noted` hears each notice that was answered 204."""
+
+    def __init__(self, noted: Callable[[dict[str, Any]], None] = lambda line: None) -> None:
+        super().__init__()
+        self.noted = noted
+        self.rev = 1
+        self.targets: dict[str, dict[str, Any]] = {}
+        self.finals: asyncio.Queue[tuple[int, dict[str, Any]]] = asyncio.Queue()
+        self.watches: asyncio.Queue[str] = asyncio.Queue()
+        self.watchers: list[asyncio.StreamWriter] = []
+        self.notice_status: list[int] = []  # of the next answers to notices, in turn; then 204
+
+    def target(self, uid: str, port: int, dest: int, kind: str = "plain", state: str = "in_service",
+               rate: float = 100.0, zone: str = "here") -> dict[str, Any]:
+        self.targets[uid] = {"uid": uid, "endpoint": f"{HOST}:{port}", "az": zone, "model": kind,
+                             "pod_group": dest, "state": state, "capacity_hint": rate, "boot_ms": 0}
+        return self.targets[uid]
+
+    def whole(self) -> dict[str, Any]:
+        return {"rev": self.rev, "all": True, "targets": list(self.targets.values())}
+
+    def change(self, uid: str, **values: Any) -> None:
+        """Every watch is told at once."""
+        self.rev += 1
+        self.targets[uid].update(values)
+        self.push({"rev": self.rev, "all": False, "targets": [self.targets[uid]]})
+
+    def push(self, line: dict[str, Any]) -> None:
+        """To every watch."""
+        for writer in self.watchers:
+            _chunk(writer, json.dumps(line).encode())
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            _, path, _, body = await read_request(reader)
+            if path.startswith("/discovery"):
+                await self._watch(path, reader, writer)
+                return
+            status = self.notice_status.pop(0) if self.notice_status else 204
+            for line in body.splitlines():
+                notice = json.loads(line)
+                self.finals.put_nowait((status, notice))
+                if status == 204:
+                    self.noted(notice)
+            writer.write(b"HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n" % status)
+
+    async def _watch(self, path: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.watches.put_nowait(path)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        _chunk(writer, json.dumps(self.whole()).encode())
+        self.watchers.append(writer)
+        beat = asyncio.create_task(self._beat(writer))
+        try:
+            await reader.read()
+        finally:
+            beat.cancel()
+            self.watchers.remove(writer)
+
+    async def _beat(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await asyncio.sleep(EMPTY_S)
+            _chunk(writer, b"")
+
+
+def _chunk(writer: asyncio.StreamWriter, text: bytes) -> None:
+    writer.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text))
--- /dev/null
+++ b/hopmill/standin/server.py
@@ -0,0 +1,61 @@
+"""A small HTTP/1.1 server on loopback, enough to stand in for partners and discovery."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+HOST = "127.0.0.1"
+
+
+class Server:
+    """A TCP server on a free port; `serve` handles one connection."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> Server:
+        """Listen; once a port is known it stays the same over stops."""
+        self.server = await asyncio.start_server(self._accept, HOST, port or self.port, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                await self.serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def drop(self) -> None:
+        """Close the connections that are open."""
+        for writer in list(self.writers):
+            writer.close()
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        self.drop()
+
+
+async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, dict[str, str], bytes]:
+    """(method, path, headers with small letters, body)."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {k.lower(): v.strip() for k, v in (line.split(":", 1) for line in head[1:] if line)}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    method, path, _ = head[0].split()
+    return method, path, headers, body
+
+
+def answer(status: int, body: bytes = b"", **headers: object) -> bytes:
+    """An answer's bytes; `_` in a header's name stands for `-`."""
+    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import os
 import pathlib
@@ -13,9 +12,11 @@
 import struct
 import sys
 
+from hopmill import standin
 from hopmill.net.config import load
 from hopmill.net.host import Host
 from hopmill.net.upgrade import become_owner
+from hopmill.standin.server import Server, answer, read_request
 
 ROOT = pathlib.Path(__file__).parent.parent
 LIMIT = 15.0  # no wait of a test lasts longer
@@ -59,53 +60,6 @@
     await bounded(poll())
 
 
-class Server:
-    """A TCP server on a free port; `serve` handles one connection."""
-
-    def __init__(self):
-        self.server, self.port, self.writers = None, 0, set()
-
-    async def start(self, port=0):
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", port or self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def _accept(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-                await self.serve(reader, writer)
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-    async def serve(self, reader, writer):
-        raise NotImplementedError
-
-    def drop(self):
-        """Close the connections that are open."""
-        for writer in list(self.writers):
-            writer.close()
-
-    async def stop(self):
-        self.server.close()
-        self.drop()
-
-
-async def read_request(reader):
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    headers = {k.lower(): v.strip() for k, v in (line.split(":", 1) for line in head[1:] if line)}
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    method, path, _ = head[0].split()
-    return method, path, headers, body
-
-
-def answer(status, body=b"", **headers):
-    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
 class Endpoint(Server):
     """Answers calls by a script, then 200. A step is bytes, a function of the body, 'reset', 'hang', or
     ('end', bytes): the connection ends after these."""
@@ -143,51 +97,7 @@
         return await bounded(self.calls.get())
 
 
-class Discovery(Server):
-    """The agent: a list that changes, a watch, and the notices."""
-
-    def __init__(self):
-        super().__init__()
-        self.rev, self.targets, self.finals, self.watches = 1, {}, asyncio.Queue(), asyncio.Queue()
-        self.watchers, self.notice_status, self.silent = [], [], False
-
-    def target(self, uid, port, dest, kind="plain", state="in_service", rate=100.0):
-        self.targets[uid] = {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "here", "model": kind,
-                             "pod_group": dest, "state": state, "capacity_hint": rate, "boot_ms": 0}
-        return self.targets[uid]
-
-    def whole(self):
-        return {"rev": self.rev, "all": True, "targets": list(self.targets.values())}
-
-    def change(self, uid, **values):
-        self.rev += 1
-        self.targets[uid].update(values)
-        self._push({"rev": self.rev, "all": False, "targets": [self.targets[uid]]})
-
-    def _push(self, line):
-        for writer in self.watchers:
-            self._chunk(writer, json.dumps(line).encode())
-
-    @staticmethod
-    def _chunk(writer, text):
-        writer.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text))
-
-    async def serve(self, reader, writer):
-        while True:
-            method, path, headers, body = await read_request(reader)
-            if path.startswith("/discovery"):
-                self.watches.put_nowait(path)
-                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                self._chunk(writer, json.dumps(self.whole()).encode())
-                self.watchers.append(writer)
-                await reader.read()
-                self.watchers.remove(writer)
-                return
-            status = self.notice_status.pop(0) if self.notice_status else 204
-            for line in body.splitlines():
-                self.finals.put_nowait((status, json.loads(line)))
-            writer.write(b"HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n" % status)
-
+class Discovery(standin.Discovery):
     async def final(self, status=204):
         while True:
             got, line = await bounded(self.finals.get())
@@ -195,32 +105,14 @@
                 return line
 
 
-class Client:
-    """Hands messages in."""
-
-    def __init__(self):
-        self.reader = self.writer = None
-        self.count = 0
+class Client(standin.Client):
+    """Hands messages in, each step in a bounded time."""
 
     async def open(self, port):
-        self.reader, self.writer = await bounded(asyncio.open_connection("127.0.0.1", port))
-        return self
-
-    @staticmethod
-    def command(*args):
-        return b"*%d\r\n" % len(args) + b"".join(b"$%d\r\n%s\r\n" % (len(a), a) for a in args)
-
-    @classmethod
-    def message(cls, ident, kind="safe", dest=7, life=6000, body=b"hello", key=""):
-        fields = f"c={kind},t=t,d={life},dest={dest}" + (f",k={key}" if key else "")
-        return cls.command(b"MSG.PUT", b"0" * 16, ident.encode(), fields.encode(), body)
+        return await bounded(super().open(port))
 
     async def line(self):
-        return (await bounded(self.reader.readuntil(b"\r\n"))).decode().strip()
-
-    async def send(self, data):
-        self.writer.write(data)
-        return await self.line()
+        return await bounded(super().line())
 
     async def put(self, ident, **more):
         return await self.send(self.message(ident, **more))
@@ -230,8 +122,7 @@
 
 
 def free_port():
-    with socket.create_server((DOOR, 0)) as sock:
-        return sock.getsockname()[1]
+    return standin.free_port(DOOR)
 
 
 class Fleet:
--- /dev/null
+++ b/tests/test_face.py
@@ -0,0 +1,336 @@
+"""The commands, the door's answers, the metrics and the demo, as processes where that is what they are."""
+
+import asyncio
+import contextlib
+import glob
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from loopback import DOOR, ROOT, answer, bounded, courier, until
+from prometheus_client.parser import text_string_to_metric_families
+
+from hopmill.bench.subject import Subject
+from hopmill.bench.world import World
+from hopmill.cli import door, journal
+from hopmill.cli import top as top_
+from hopmill.net import state
+from hopmill.net.metrics import MOST_NAMES, OTHER, Metrics, Names
+from hopmill.standin.ledger import Entry, Ledger
+
+EXAMPLE = ROOT / "deploy" / "courier.example.toml"
+
+
+def hopmill(*args, **more):
+    return subprocess.run([sys.executable, "-m", "hopmill", *map(str, args)], cwd=ROOT, timeout=60,
+                          capture_output=True, text=True, **more)
+
+
+@pytest.mark.parametrize(("args", "status", "said"), [
+    (["--version"], 0, "hopmill"), (["demo", "--help"], 0, "Example: hopmill demo"),
+    (["dmo"], 2, "demo"), (["demo", "--trouble", "zon"], 2, "did you mean zone?"),
+    (["ctl", "127.0.0.1:1", "helth"], 2, "did you mean health?"),
+    (["ctl", "127.0.0.1:1", "out"], 2, "out takes a name"),
+    (["ctl", "127.0.0.1:1", "health"], 1, "no answer"), (["ctl", "here", "health"], 1, "must be HOST:PORT"),
+    (["check", EXAMPLE], 0, "off: connections.warm_up"), (["check", "/nowhere"], 2, "cannot be read"),
+    (["check", "--json", EXAMPLE], 0, '"calls.slots": 32'), (["schema"], 0, "longest_told_wait_ms"),
+    (["journal", "show", "/nowhere"], 1, "holds no journal"),
+    (["journal", "verify", "/proc"], 1, "holds no journal"), (["serve", "/nowhere"], 2, "cannot be read")])
+def test_commands_say_what_is_wrong_in_a_line(args, status, said):
+    done = hopmill(*args)
+    assert done.returncode == status and said in done.stdout + done.stderr
+    assert "Traceback" not in done.stderr
+
+
+@pytest.mark.parametrize(("change", "status", "said"), [
+    ({}, 0, " ready "), ({"LB_LISTEN": "busy"}, 1, "cannot start"),
+    ({"LB_STATE": "/proc"}, 1, "cannot start"), ({"LB_OPERATOR": "busy"}, 1, "cannot start"),
+    ({"LB_STATE": str(EXAMPLE)}, 2, "LB_STATE: must be a folder")])
+def test_serve_reads_a_file_and_the_environment_wins(tmp_path, change, status, said):
+    with socket.create_server(("127.0.0.1", 0)) as busy:
+        taken = f"127.0.0.1:{busy.getsockname()[1]}"
+        env = {"LB_LISTEN": "127.0.0.1:0", "LB_OPERATOR": "127.0.0.1:0", "LB_STATE": str(tmp_path)}
+        env |= {k: taken if v == "busy" else v for k, v in change.items()}
+        process = subprocess.Popen([sys.executable, "-m", "hopmill", "serve", EXAMPLE], cwd=ROOT, text=True,
+                                   env={**os.environ, **env}, stderr=subprocess.PIPE)
+        line = process.stderr.readline()
+        process.send_signal(signal.SIGTERM) if status == 0 else None
+        assert said in line and process.wait(10) == status
+        if status:
+            assert not process.stderr.read()
+
+
+# The door
+
+async def ask(fleet, path):
+    return await asyncio.to_thread(door.call, f"{DOOR}:{fleet.door}", "GET", path)
+
+
+async def scrape(fleet):
+    reader, writer = await asyncio.open_connection(DOOR, fleet.door)
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    head, _, text = (await bounded(reader.read())).partition(b"\r\n\r\n")
+    writer.close()
+    assert b"text/plain; version=0.0.4" in head
+    return {(s.name, *sorted(s.labels.items())): s.value
+            for family in text_string_to_metric_families(text.decode()) for s in family.samples}
+
+
+@courier
+async def test_metrics_count_what_happened(fleet):
+    e = await fleet.endpoint("a", answer(500), answer(200), answer(429, Retry_After=0.5))
+    client = await fleet.inside()
+    for ident in ("m1", "m2"):
+        assert await client.put(ident) == "+OK"
+    await client.put("m3", dest=9, life=300)  # nobody to go to
+    await fleet.discovery.final()
+    await until(lambda: e.calls.qsize() >= 3)
+    await asyncio.sleep(0.05)
+    got = await scrape(fleet)
+    assert got[("hopmill_messages_total", ("cls", "safe"), ("end", "taken"))] == 3
+    assert got[("hopmill_messages_total", ("cls", "safe"), ("end", "delivered"))] >= 1
+    assert got[("hopmill_attempts_total", ("partner", "7"), ("result", "error"))] == 1
+    assert got[("hopmill_attempts_total", ("partner", "7"), ("result", "ok"))] >= 1
+    assert got[("hopmill_turn_seconds_count",)] >= 3 and got[("hopmill_journal_bytes",)] > 0
+    assert got[("hopmill_zone_share", ("state", "serving"), ("zone", "here"))] == 1
+    assert got[("hopmill_lane_out", ("endpoint", ""), ("partner", "7"))] >= 0
+    names = {name for name, *_ in got}
+    board = json.loads((ROOT / "deploy" / "grafana.json").read_text())
+    wanted = set(re.findall(r"hopmill_\w+", json.dumps([p["targets"] for p in board["panels"]])))
+    assert wanted - names <= {"hopmill_connections_closed_total"}  # none has been closed yet
+    for path, key in (("/endpoints", "endpoints"), ("/lanes", "lanes")):
+        status, body = await ask(fleet, path)
+        assert status == 200 and body[key] and body["not_shown"] == 0
+
+
+@courier
+async def test_a_reader_of_metrics_that_never_reads_holds_nothing(fleet):
+    await fleet.inside()
+    metrics = fleet.host.metrics
+    for partner in range(MOST_NAMES + 50):
+        metrics.call(partner, "ok", 0.1)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (DOOR, fleet.door))
+    await asyncio.get_running_loop().sock_sendall(sock, b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    await until(lambda: fleet.host.door.callers)
+    assert len(metrics.text()) > 200_000  # over what both kernels' buffers hold of a small window
+    await until(lambda: not fleet.host.door.callers)
+    assert (await ask(fleet, "/healthcheck"))[0] == 200
+    sock.close()
+
+
+def test_labels_stay_bounded_under_a_churn_of_names():
+    names = Names(most=3)
+    assert [names.label(n) for n in (1, 2, 3, 4, 5, 1)] == ["1", "2", "3", OTHER, OTHER, "1"]
+    metrics = Metrics(("safe",))
+    for partner in range(MOST_NAMES * 3):
+        metrics.call(partner, "ok", 0.01)
+    rows = [line for line in metrics.text().splitlines() if line.startswith(b"hopmill_attempts_total")]
+    assert len(rows) == MOST_NAMES + 1 and b'partner="other"' in rows[-1]
+
+
+@courier
+async def test_without_a_door_nothing_is_counted_and_nothing_more_listens(fleet):
+    await fleet.endpoint("a")
+    fleet.door = 0
+    client = await fleet.inside()
+    assert await client.put("m") == "+OK"
+    assert fleet.host.metrics is None and fleet.host.observer.meters is None
+    assert not fleet.host.observer.taken_at and not fleet.host.door.acceptors
+
+
+@courier
+async def test_one_message_is_followed_by_its_id(fleet):
+    await fleet.endpoint("a", answer(500))
+    env = fleet.env()
+    path = Path(env["LB_CONFIG"])
+    path.write_text(json.dumps({**json.loads(path.read_text()), "log": {"level": "debug"}}))
+    fleet.env = lambda: env
+    client = await fleet.outside()
+    assert await client.put("m1") == "+OK"
+    said = []
+    while "message.over" not in (line := (await bounded(fleet.process.stderr.readline())).decode()):
+        said.append(line)
+    events = [line.split()[3] for line in [*said, line] if "message=m1" in line]
+    assert events == ["message.put", "message.taken", "attempt.sent", "attempt.ended", "attempt.sent",
+                      "attempt.ended", "message.over"]
+
+
+@courier
+async def test_a_reload_names_what_changed_and_what_waits(fleet):
+    await fleet.outside()
+    path = fleet.folder / "config.json"
+    config = json.loads(path.read_text()) | {"discovery": f"127.0.0.1:{fleet.discovery.port}"}
+    config["settings"]["policyLimits"]["maxOpen"] += 1
+    path.write_text(json.dumps(config | {"log": {"format": "json"}}))
+    fleet.process.send_signal(signal.SIGHUP)
+    said = [(await bounded(fleet.process.stderr.readline())).decode() for _ in range(4)]
+    assert [re.search(r"(config\.\w+) path=([\w.]+)", line).groups() for line in said[:3]] == [
+        ("config.changed", "discovery"), ("config.needs_restart", "held"), ("config.changed", "log.format")]
+    assert json.loads(said[3])["event"] == "config.discovery"  # in the new form already
+
+
+def test_top_adds_up_couriers():
+    lane = {"partner": 7, "queued": 5, "out": 1, "pace": 2.0, "part": 3.0, "wait_ms": 10}
+    seen = {"lanes": {"lanes": [lane, lane]}, "zones": {"zones": [
+        {"zone": "a", "state": "out", "share": 0.0, "endpoints": 2}]}}
+    other = {"lanes": {"lanes": [lane]}, "zones": {"zones": [
+        {"zone": "a", "state": "serving", "share": 1.0, "endpoints": 3}]}}
+    looks = [seen, other, {"error": "no answer"}]
+    assert top_.by_partner(looks)[7] == {"couriers": 2, "queued": 10, "out": 3, "pace": 6.0, "part": 9.0,
+                                         "waiting": 3}
+    zone = top_.by_zone(looks)["a"]
+    assert (zone["share"], zone["endpoints"], dict(zone["states"])) == (0.5, 3, {"out": 1, "serving": 1})
+
+
+@courier
+async def test_ctl_and_top_speak_with_a_courier(fleet):
+    await fleet.endpoint("a")
+    await fleet.inside()
+    address = f"{DOOR}:{fleet.door}"
+    for args, status, said in ((["out", "a"], 0, '"out_by_hand": true'), (["health"], 0, '["a"]'),
+                               (["out", "z"], 1, "no such endpoint"), (["zones"], 0, "serving")):
+        done = await asyncio.to_thread(hopmill, "ctl", address, *args, "--json")
+        assert done.returncode == status and said in done.stdout
+    done = await asyncio.to_thread(hopmill, "top", address, "127.0.0.1:1", "--times", "1")
+    assert done.returncode == 0 and "no answer" in done.stdout and "serving" in done.stdout
+
+
+# The journal
+
+def folder_with(tmp_path, *, cut=0, more=b""):
+    j = state.Journal(tmp_path, 10**6)
+    for n in (1, 2):
+        j.take(state.Held(n, f"m{n}", 0, 0, 7, "", time.time() + 5, False, b"body"))
+    j.attempt([1], time.time())
+    j.final(2, "deferred", 100)
+    j.set_by_hand("a", True)
+    j.close()
+    path = tmp_path / state.NAME
+    data = path.read_bytes()
+    path.write_bytes(data[:len(data) - cut] + more)
+    return path
+
+
+WHOLE = state.frame(["known", 0, {}, {}])
+
+
+@pytest.mark.parametrize(("cut", "more", "status", "tail"), [
+    (0, b"", 0, 0), (3, b"", 0, 14), (0, WHOLE[:-2], 0, len(WHOLE) - 2),  # a record is being written
+    (0, WHOLE[:-1] + b"\0" + WHOLE, 1, 2 * len(WHOLE)),  # damaged in the middle
+    (0, state.frame(["later", 1]), 1, 0)])  # of a version that is not known
+def test_a_folder_is_shown_as_it_is(tmp_path, capsys, cut, more, status, tail):
+    path = folder_with(tmp_path, cut=cut, more=more)
+    before = path.read_bytes()
+    assert journal.verify(tmp_path, True) == status
+    assert abs(json.loads(capsys.readouterr().out)["tail_bytes"] - tail) <= 4
+    assert journal.show(tmp_path, True) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert [m["state"] for m in told["messages"]] == ["open", "deferred"] and told["notices_owed"] == 1
+    assert path.read_bytes() == before and os.listdir(tmp_path) == [state.NAME]
+
+
+@courier
+async def test_a_folder_is_shown_beside_its_courier(fleet):
+    client = await fleet.inside()
+    for n in range(20):
+        assert await client.put(f"m{n}", dest=9) == "+OK"
+        got = journal.read(fleet.folder / "state")
+        assert not got.damaged and len(got.contents.held) == n + 1
+
+
+# The demo
+
+def test_the_account_adds_up_and_fails_on_what_must_not_be():
+    ledger = Ledger()
+    for n, (answer_, delivered, notice, effects) in enumerate([
+            ("taken", 1.5, "", 2), ("taken", 3.0, "undeliverable", 1), ("taken", 0, "deferred", 0),
+            ("taken", 0, "", 0), ("refused", 0, "", 0), ("", 0, "", 0)]):
+        ledger.handed_in(str(n), Entry("c", n == 0, 1.0, 1.0, 6.0, answer_, delivered, effects, notice))
+    got = ledger.result().as_json()
+    assert {k: got[k] for k in ("handed_in", "taken", "refused", "failed", "delivered", "in_time", "late",
+                                "deferred", "undeliverable", "lost", "twice")} == {
+        "handed_in": 6, "taken": 4, "refused": 1, "failed": 1, "delivered": 2, "in_time": 1, "late": 1,
+        "deferred": 1, "undeliverable": 0, "lost": 1, "twice": 1}
+    assert ledger.result().failed and ledger.open(2.0) == 1 and ledger.open(7.4) == 0
+
+
+def running_demo(tmp_path, *args):
+    return subprocess.Popen(
+        [sys.executable, "-m", "hopmill", "demo", "--json", *args], cwd=ROOT, text=True,
+        env={**os.environ, "TMPDIR": str(tmp_path)}, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+
+
+def couriers_of(tmp_path):
+    """The processes that serve from a file in this folder."""
+    found = []
+    for path in glob.glob("/proc/[0-9]*/cmdline"):
+        with contextlib.suppress(OSError):
+            words = Path(path).read_bytes().split(b"\0")
+            if b"serve" in words and any(w.startswith(bytes(tmp_path)) for w in words):
+                found.append(int(path.split("/")[2]))
+    return found
+
+
+def wait_for(condition):
+    end = time.monotonic() + 15
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.02)
+
+
+@pytest.mark.parametrize("how", [signal.SIGINT, signal.SIGTERM])
+def test_a_demo_that_is_ended_leaves_nothing(tmp_path, how):
+    process = running_demo(tmp_path, "--seconds", "30")
+    wait_for(lambda: len(couriers_of(tmp_path)) == 2)
+    time.sleep(0.5)
+    process.send_signal(how)
+    assert process.wait(10) == 130
+    assert not couriers_of(tmp_path) and not os.listdir(tmp_path)
+
+
+def test_a_demo_whose_courier_is_killed_loses_nothing(tmp_path):
+    process = running_demo(tmp_path, "--seconds", "3", "--trouble", "none")
+    wait_for(lambda: len(couriers_of(tmp_path)) == 2)
+    time.sleep(1.5)
+    os.kill(couriers_of(tmp_path)[0], signal.SIGKILL)
+    out, _ = process.communicate(timeout=40)
+    told = json.loads(out.splitlines()[-1])
+    assert process.returncode == 0 and told["restarts"] == 1 and told["lost"] == told["twice"] == 0
+    assert told["taken"] == sum(told[k] for k in ("delivered", "deferred", "undeliverable", "lost")) > 100
+    assert not couriers_of(tmp_path) and not os.listdir(tmp_path)
+
+
+def test_logs_at_debug_under_load_to_a_pipe_that_nobody_reads(tmp_path, monkeypatch):
+    reader, writer = os.pipe()
+    launch = asyncio.create_subprocess_exec
+    monkeypatch.setattr(asyncio, "create_subprocess_exec",
+                        lambda *args, **more: launch(*args, **{**more, "stderr": writer}))
+
+    async def run():
+        world = World(partners=4, latency_s=0.01)
+        await world.start()
+        subject = Subject("n0", ROOT, tmp_path, world.settings(), world.known(), world.discovery.port,
+                          extra={"log": {"level": "debug", "lines_per_s": 10**6}})
+        try:
+            await subject.start()
+            return await world.load(subject.port, 500, 1.5, connections=20)
+        finally:
+            await subject.stop()
+            await world.stop()
+    load = asyncio.run(run())
+    os.close(reader)
+    os.close(writer)
+    assert load.delivered + load.refused + load.failed == load.offered and load.lost == 0
+    assert load.delivered > 0.8 * load.offered
+
+
