--- a/hopmill/cli/app.py
+++ b/hopmill/cli/app.py
@@ -21,6 +21,7 @@
            "lanes": ("GET", "/lanes"), "zones": ("GET", "/zones"), "connections": ("GET", "/connections"),
            "out": ("POST", "/endpoints/{}/maint"), "back": ("POST", "/endpoints/{}/ready"),
            "zone-out": ("POST", "/zones/{}/maint"), "zone-back": ("POST", "/zones/{}/ready")}
+FAST = ("serve", "check", "schema", "demo", "ctl", "top", "journal", "--version")  # need no look for the lab
 JsonOption = Annotated[bool, typer.Option("--json", help="Machine-readable.")]
 
 
@@ -144,7 +145,26 @@
                                                  f"; there are {', '.join(names)}"))
 
 
+def _add_lab() -> None:
+    """Where the extra is not installed the command says so, and the rest works."""
+    try:
+        import importlib.util
+        if not all(importlib.util.find_spec(name) for name in ("numpy", "scipy", "matplotlib", "hdrh")):
+            raise ImportError
+    except ImportError:
+        @app.command("lab")
+        def missing() -> None:
+            """The laboratory (not installed: pip install 'hopmill[lab]')."""
+            raise fail("the laboratory needs its extra: pip install 'hopmill[lab]'", 1)
+    else:
+        from hopmill.cli.lab import lab, load
+        app.add_typer(lab, name="lab")
+        app.command("load", epilog="Example: hopmill load 127.0.0.1:6379 --rate 500 --seconds 5")(load)
+
+
 def main() -> int:
+    if sys.argv[1:2] and sys.argv[1] not in FAST:
+        _add_lab()
     try:
         app(prog_name="hopmill")
     except SystemExit as end:
--- /dev/null
+++ b/hopmill/lab/chance.py
@@ -0,0 +1,41 @@
+"""Random numbers by (seed, purpose): what one part draws shifts nothing that another part draws."""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Sequence
+
+import numpy as np
+
+
+def stream(seed: int, purpose: str) -> np.random.Generator:
+    """The same numbers for the same seed and purpose, on every machine and for every build."""
+    return np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, zlib.crc32(purpose.encode())])))
+
+
+def zipf_weights(count: int, exponent: float) -> np.ndarray:
+    """Shares that sum to 1, the largest first."""
+    weights = 1.0 / np.arange(1, count + 1) ** exponent
+    return weights / weights.sum()
+
+
+def lognormal(chance: np.random.Generator, mean: float, cv: float, size: int | None = None):
+    """Log-normal with this mean and coefficient of variation."""
+    sigma = math.sqrt(math.log(1 + cv * cv))
+    return chance.lognormal(math.log(mean) - sigma * sigma / 2, sigma, size)
+
+
+class Pool:
+    """Numbers drawn ahead in blocks, for a caller that needs them one at a time."""
+
+    def __init__(self, chance: np.random.Generator, block: int = 1024) -> None:
+        self.chance, self.block = chance, block
+        self.uniforms: Sequence[float] = ()
+        self.at = 0
+
+    def uniform(self) -> float:
+        if self.at >= len(self.uniforms):
+            self.uniforms, self.at = self.chance.random(self.block).tolist(), 0
+        self.at += 1
+        return self.uniforms[self.at - 1]
--- /dev/null
+++ b/hopmill/lab/dialect.py
@@ -0,0 +1,60 @@
+"""The types of the module under test, which may be another revision's than the laboratory's own.
+
+What a revision does not know is left out: an event is not told, a field of an event or of the settings not
+given. `unknown` says which, and every result carries it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import importlib
+from collections.abc import Callable
+from types import ModuleType
+from typing import Any
+
+NEEDED = (
+    "MessageArrived",
+    "AttemptEnded",
+    "EndpointsListed",
+    "TimerDue",
+    "Settings",
+    "MessageClass",
+    "Kind",
+    "Tenant",
+    "ListEntry",
+    "ListForm",
+    "EndpointState",
+    "Effect",
+    "Result",
+    "Send",
+    "Refuse",
+    "Fail",
+)
+
+
+class DialectError(Exception):
+    """The revision lacks what no play can do without."""
+
+
+class Dialect:
+    def __init__(self) -> None:
+        self.i: ModuleType = importlib.import_module("hopmill.interface")
+        self.unknown: set[str] = set()
+        if missing := [name for name in NEEDED if not hasattr(self.i, name)]:
+            raise DialectError(f"this revision has no {', '.join(missing)}")
+        self.courier: Callable[[Any, int], Any] = importlib.import_module("hopmill").Courier
+        self._fields: dict[str, frozenset[str]] = {}
+
+    def make(self, type_: str, /, **values: Any) -> Any:
+        """An object of that type, with the fields that this revision knows; None if it knows no such type."""
+        kind = getattr(self.i, type_, None)
+        if kind is None:
+            self.unknown.add(type_)
+            return None
+        known = self._fields.get(type_)
+        if known is None:
+            known = self._fields[type_] = frozenset(f.name for f in dataclasses.fields(kind))
+        if not known.issuperset(values):
+            self.unknown.update(f"{type_}.{field}" for field in values if field not in known)
+            values = {field: value for field, value in values.items() if field in known}
+        return kind(**values)
--- /dev/null
+++ b/hopmill/lab/farm.py
@@ -0,0 +1,174 @@
+"""Seeds in parallel: one worker a core, results in the seeds' order."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from queue import Empty, SimpleQueue
+from typing import Any
+
+WORKER = Path(__file__).with_name("worker.py")
+
+
+class LabError(Exception):
+    """What a person has to know, in one line."""
+
+
+@dataclass(frozen=True)
+class Build:
+    """What is played: a checkout's module (None: this one's) with some of its names set otherwise."""
+
+    checkout: str | None = None
+    override: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Job:
+    """A build on a scenario. `changes`: of the scenario, by path."""
+
+    build: Build
+    scenario: str
+    couriers: int = 0
+    changes: dict[str, Any] = field(default_factory=dict)
+    more: bool = False
+
+    def task(self) -> str:
+        return json.dumps(
+            {
+                "checkout": self.build.checkout,
+                "override": self.build.override,
+                "scenario": self.scenario,
+                "couriers": self.couriers,
+                "changes": self.changes,
+                "more": self.more,
+            }
+        )
+
+
+@contextmanager
+def build(spec: str) -> Iterator[Build]:
+    """A revision of this repository, a folder, or settings as `brain.GROW=0.2,links.HALF=0.4`.
+
+    A revision is checked out into a temporary worktree for as long as the block lasts.
+    """
+    if "=" in spec:
+        pairs = dict(part.split("=", 1) for part in spec.split(","))
+        yield Build(override={k.strip(): v.strip() for k, v in pairs.items()})
+    elif spec in ("", "."):
+        yield Build()
+    elif (Path(spec) / "hopmill").is_dir():
+        yield Build(str(Path(spec).resolve()))
+    else:
+        with tempfile.TemporaryDirectory(prefix="hopmill-lab-") as folder:
+            at = Path(folder) / "tree"
+            done = subprocess.run(
+                ["git", "worktree", "add", "--quiet", "--detach", str(at), spec],
+                capture_output=True,
+                text=True,
+            )
+            if done.returncode:
+                raise LabError(f"{spec}: neither a revision, a folder nor settings")
+            try:
+                yield Build(str(at))
+            finally:
+                subprocess.run(["git", "worktree", "remove", "--force", str(at)], capture_output=True)
+
+
+class Worker:
+    def __init__(self, job: Job) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, str(WORKER)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            env={**os.environ, **ONE_THREAD},
+        )
+        self._say(job.task())
+        told = self._hear()
+        if "error" in told:
+            raise LabError(told["error"])
+
+    def _say(self, line: str) -> None:
+        assert self.process.stdin
+        self.process.stdin.write(line + "\n")
+        self.process.stdin.flush()
+
+    def _hear(self) -> dict[str, Any]:
+        assert self.process.stdout
+        line = self.process.stdout.readline()
+        if not line:
+            raise LabError(f"a worker ended with {self.process.wait()}")
+        return json.loads(line)
+
+    def play(self, seed: int) -> dict[str, Any]:
+        self._say(str(seed))
+        return self._hear()
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        for pipe in (self.process.stdin, self.process.stdout):
+            if pipe:
+                pipe.close()
+
+
+ONE_THREAD = {"OPENBLAS_NUM_THREADS": "1", "OMP_NUM_THREADS": "1"}  # the seeds are what runs in parallel
+
+
+def run(
+    jobs: list[tuple[Job, int]], progress: Callable[[int, int], None] = lambda done, of: None, cores: int = 0
+) -> Iterator[dict[str, Any]]:
+    """The results of (job, seed) in the order given. LabError if a worker can't play. Closing it ends all."""
+    cores = min(cores or os.cpu_count() or 1, len(jobs))
+    waiting: SimpleQueue[int] = SimpleQueue()
+    for at in range(len(jobs)):
+        waiting.put(at)
+    results: SimpleQueue[tuple[int, dict[str, Any] | BaseException]] = SimpleQueue()
+    workers: list[Worker] = []
+    over = False
+
+    def serve() -> None:
+        mine: dict[int, Worker] = {}
+        while not over:
+            try:
+                at = waiting.get_nowait()
+            except Empty:
+                break
+            job, seed = jobs[at]
+            try:
+                worker = mine.get(id(job))
+                if worker is None:
+                    worker = mine[id(job)] = Worker(job)
+                    workers.append(worker)
+                results.put((at, worker.play(seed)))
+            except BaseException as error:
+                results.put((at, error))
+                return
+
+    with ThreadPoolExecutor(cores) as pool:
+        for _ in range(cores):
+            pool.submit(serve)
+        try:
+            ready: dict[int, dict[str, Any]] = {}
+            turn = 0
+            for done in range(len(jobs)):
+                at, got = results.get()
+                if isinstance(got, BaseException):
+                    raise got
+                progress(done + 1, len(jobs))
+                ready[at] = got
+                while turn in ready:
+                    yield ready.pop(turn)
+                    turn += 1
+        finally:
+            over = True
+            for worker in workers:
+                worker.close()
--- /dev/null
+++ b/hopmill/lab/live.py
@@ -0,0 +1,75 @@
+"""A scenario on real sockets: courier processes, and stand-ins sized as the model sizes its partners."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from hopmill.lab.scenario import Scenario, draw, load
+from hopmill.lab.world import World
+from hopmill.standin.load import Kind
+from hopmill.standin.partner import Plan
+from hopmill.standin.scene import Options, Scene
+
+TROUBLES = {
+    "down": "down",
+    "silent": "silent",
+    "hung": "silent",
+    "shut": "shut",
+    "zone_cut": "zone",
+    "kill": "restart",
+    "restart": "restart",
+    "errors": "errors",
+    "slow": "slow",
+}
+
+
+def plans(world: World) -> list[Plan]:
+    """The model's partners as stand-ins."""
+    rows = []
+    for partner in world.partners:
+        kind = partner.targets[0].kind
+        work_ms = sum(c.work_ms * c.share for c in world.scenario.classes)
+        work_ms /= sum(c.share for c in world.scenario.classes)
+        rows.append(
+            Plan(
+                partner.number,
+                f"p{partner.number}",
+                "apart" if kind.routes_apart else "bundles" if kind.bundle > 1 else "plain",
+                rate_per_s=partner.rate_per_s,
+                bundle=kind.bundle,
+                latency_ms=work_ms * partner.targets[0].slow,
+                sigma=0.5,
+                item_ms=work_ms * kind.item_cost,
+                connections=int(kind.connections),
+                routes_apart=kind.routes_apart,
+                cold_share=kind.cold_from,
+                cold_s=kind.cold_ms / 1e3,
+                fall_multiple=world.scenario.fall_multiple,
+                fall_s=world.scenario.fall_ms / 1e3,
+            )
+        )
+    return rows
+
+
+def kinds(scenario: Scenario) -> list[Kind]:
+    return [
+        Kind(c.name, c.share, c.aim_ms / 1e3, c.deadline_ms / 1e3, c.effect == "unsafe", c.effect == "keyed")
+        for c in scenario.classes
+    ]
+
+
+def run(name: str, couriers: int, seconds: float, seed: int) -> dict[str, Any]:
+    """The account, as `hopmill demo --json` gives it. The first trouble that stand-ins can make is made."""
+    scenario = load(name, couriers, seconds=seconds)
+    world = World(scenario, seed)
+    drawn = draw(scenario, seed)
+    trouble = next((TROUBLES[t.kind] for t in drawn.troubles if t.kind in TROUBLES), "none")
+    rate = min(500.0, drawn.load.rate_per_s * drawn.load.factor)
+    with tempfile.TemporaryDirectory(prefix="hopmill-live-") as folder:
+        scene = Scene(
+            Options(seconds, rate, couriers, trouble, seed), Path(folder), plans(world), kinds(drawn)
+        )
+        return asyncio.run(scene.run()).as_json() | {"trouble": trouble, "rate": round(rate, 1)}
--- /dev/null
+++ b/hopmill/lab/play.py
@@ -0,0 +1,61 @@
+"""One play as one JSON object, whatever became of it."""
+
+from __future__ import annotations
+
+import importlib
+from typing import Any
+
+import msgspec
+
+from hopmill.lab.courier import ModuleFailed
+from hopmill.lab.dialect import Dialect
+from hopmill.lab.losses import losses
+from hopmill.lab.result import by_lane, by_second, result
+from hopmill.lab.rules import RuleBroken
+from hopmill.lab.scenario import Scenario
+from hopmill.lab.world import World
+
+
+def override(changes: dict[str, str]) -> None:
+    """'brain.GROW': '0.2' sets that name of a module under hopmill. KeyError names what is not there."""
+    for path, text in changes.items():
+        where, _, name = path.rpartition(".")
+        module = importlib.import_module(f"hopmill.{where}")
+        if not hasattr(module, name):
+            raise KeyError(path)
+        setattr(module, name, msgspec.json.decode(text))
+
+
+def play(scenario: Scenario, seed: int, more: bool = False) -> dict[str, Any]:
+    """A broken rule or a failed module is a result too: `broken` says which, and `g` is 0.
+
+    more: also calls by lane and worth by second.
+    """
+    world = World(scenario, seed, Dialect())
+    broken: dict[str, Any] = {}
+    try:
+        world.play()
+    except RuleBroken as error:
+        broken = {"broken": error.rule, "text": str(error), "trace": error.trace}
+    except ModuleFailed as error:
+        broken = {"broken": "module failed", "text": f"seed {seed}: {error}", "trace": []}
+    told = result(world)
+    if broken:
+        told |= {"g": 0.0, **broken}
+    if more:
+        told |= {"lanes": by_lane(world), "seconds": by_second(world), "parts": parts(world), **losses(world)}
+    return told
+
+
+def parts(world: World) -> dict[str, Any]:
+    """At the play's end: for each lane its limit beside the sum of the couriers' parts and paces."""
+    sums: dict[str, list[float]] = {}
+    for courier in world.couriers:
+        dests = getattr(courier.module, "dests", None) or {}
+        for dest in dests.values():
+            for lane in getattr(dest, "lanes", ()):
+                name = f"{dest.number}.{next(iter(lane.endpoints), 0)}"
+                row = sums.setdefault(name, [0.0, 0.0])
+                row[0] += getattr(lane, "listed", 0.0)
+                row[1] += getattr(lane, "rate", 0.0)
+    return {name: {"parts": round(a, 3), "pace": round(b, 3)} for name, (a, b) in sorted(sums.items())}
--- /dev/null
+++ b/hopmill/lab/report.py
@@ -0,0 +1,137 @@
+"""One HTML page of some plays, with its plots inside it and no links outside."""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+from collections.abc import Sequence
+from typing import Any
+
+import matplotlib
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from hopmill.lab.compare import Difference
+from hopmill.lab.result import STEP_S
+
+matplotlib.use("Agg")
+from matplotlib import pyplot as plt  # noqa: E402
+
+MOST_LANES = 12
+PAGE = """<!doctype html><html lang="en"><meta charset="utf-8"><title>{title}</title>
+<style>body{{font:15px/1.5 sans-serif;margin:2em auto;max-width:70em;padding:0 1em}}img{{max-width:100%}}
+table{{border-collapse:collapse}}td,th{{border:1px solid #bbb;padding:.2em .6em;text-align:right}}
+td:first-child,th:first-child{{text-align:left}}</style><h1>{title}</h1>{body}</html>"""
+
+
+def _image(figure: Any, text: str) -> str:
+    data = io.BytesIO()
+    figure.savefig(data, format="png", dpi=90, bbox_inches="tight")
+    plt.close(figure)
+    coded = base64.b64encode(data.getvalue()).decode()
+    return f'<h2>{html.escape(text)}</h2><img alt="{html.escape(text)}" src="data:image/png;base64,{coded}">'
+
+
+def _table(head: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
+    cells = "".join(
+        "<tr>" + "".join(f"<td>{html.escape(str(c))}</td>" for c in row) + "</tr>" for row in rows
+    )
+    return "<table><tr>" + "".join(f"<th>{html.escape(h)}</th>" for h in head) + f"</tr>{cells}</table>"
+
+
+def worth_by_second(rows: list[dict[str, Any]]) -> str:
+    figure, axis = plt.subplots(figsize=(10, 3))
+    for row in rows:
+        seconds = row["seconds"]
+        axis.plot(
+            [s["second"] for s in seconds],
+            [s["served"] / max(s["asked"], 1e-9) for s in seconds],
+            label=f"seed {row['seed']}",
+            linewidth=1,
+        )
+    axis.set(xlabel="second handed in", ylabel="share of worth served", ylim=(0, 1.02))
+    axis.legend(fontsize=7, ncol=6)
+    return _image(figure, "Worth served, by second")
+
+
+def calls_by_lane(row: dict[str, Any]) -> str:
+    """The busiest lanes: calls and refusals a second, the limit, and the sum of the couriers' parts."""
+    lanes = sorted(row["lanes"].items(), key=lambda lane: -sum(lane[1]["calls"]))[:MOST_LANES]
+    figure, axes = plt.subplots(len(lanes), 1, figsize=(10, 1.6 * len(lanes)), sharex=True, squeeze=False)
+    each = round(1 / STEP_S)
+    for axis, (name, lane) in zip(axes[:, 0], lanes, strict=True):
+        for what, colour in (("calls", "tab:blue"), ("refused", "tab:red")):
+            steps = np.array(lane[what])
+            seconds = np.add.reduceat(steps, range(0, len(steps), each))
+            axis.plot(seconds, color=colour, linewidth=1, label=what)
+        top = lane["limit_per_s"] or lane["capacity_per_s"]
+        axis.axhline(top, color="grey", linestyle="--", label="limit" if lane["limit_per_s"] else "capacity")
+        if part := row["parts"].get(name.split(".")[0] + "." + name.split(".")[1]):
+            axis.axhline(part["parts"], color="tab:green", linestyle=":", label="sum of parts at the end")
+        axis.set_ylabel(name, fontsize=8)
+    axes[0, 0].legend(fontsize=7, ncol=4)
+    axes[-1, 0].set_xlabel("second")
+    return _image(figure, f"Calls and refusals by lane, a second (seed {row['seed']})")
+
+
+def heat(row: dict[str, Any]) -> str:
+    """Worth lost by courier and second."""
+    figure, axis = plt.subplots(figsize=(10, 4))
+    shown = axis.imshow(
+        np.array(row["lost_by_courier"]), aspect="auto", interpolation="nearest", cmap="magma"
+    )
+    axis.set(xlabel="second", ylabel="courier")
+    figure.colorbar(shown, label="worth not served")
+    return _image(figure, f"Worth not served, by courier and second (seed {row['seed']})")
+
+
+def latency(rows: list[dict[str, Any]]) -> str:
+    histogram = HdrHistogram(1, 120_000_000, 3)
+    for row in rows:
+        for value in row["latencies_us"]:
+            histogram.record_value(max(1, value))
+    shares = (50, 75, 90, 99, 99.9)
+    cells = [[f"p{share:g}", f"{histogram.get_value_at_percentile(share) / 1e3:.1f}"] for share in shares]
+    return "<h2>Latency of what was delivered</h2>" + _table(["percentile", "ms"], cells)
+
+
+def causes(rows: list[dict[str, Any]]) -> str:
+    """Worth not served by what happened to the message last, as a share of all that was asked."""
+    total: dict[str, float] = {}
+    for row in rows:
+        for name, value in row["lost_by_cause"].items():
+            total[name] = total.get(name, 0.0) + value / len(rows)
+    cells = [[name, f"{value:.4f}"] for name, value in sorted(total.items(), key=lambda x: -x[1])]
+    return "<h2>Worth not served, by cause</h2>" + _table(["cause", "share of all worth"], cells)
+
+
+def differences(found: Sequence[Difference]) -> str:
+    cells = [
+        [d.part, d.seeds, f"{d.a:.4f}", f"{d.b:.4f}", f"{d.mean:+.4f}", f"{d.low:+.4f} to {d.high:+.4f}"]
+        for d in found
+    ]
+    return "<h2>Paired differences</h2>" + _table(
+        ["part", "seeds", "A", "B", "B - A", "95 % interval"], cells
+    )
+
+
+def page(title: str, rows: list[dict[str, Any]], found: Sequence[Difference] = ()) -> str:
+    """rows: results that were played with `more`."""
+    cells = [
+        [
+            r["seed"],
+            r["g"],
+            r["served"],
+            r["worst_window"],
+            r["refused_calls"],
+            r["connections"],
+            r.get("broken", ""),
+        ]
+        for r in rows
+    ]
+    body = _table(["seed", "G", "served", "worst window", "refused calls", "connections", "broken"], cells)
+    body += (differences(found) if found else "") + worth_by_second(rows) + causes(rows) + latency(rows)
+    for row in rows[:2]:
+        body += calls_by_lane(row) + heat(row)
+    return PAGE.format(title=html.escape(title), body=body)
--- /dev/null
+++ b/hopmill/lab/scenario.py
@@ -0,0 +1,307 @@
+"""A scenario: ranges from a TOML file, and the one draw from them that a seed gives."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from hopmill.lab.chance import stream
+
+FOLDER = Path(__file__).parent / "scenarios"
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Pair = tuple[float, float]
+Range = float | Pair  # a number, or [least, most]
+
+
+class ScenarioError(Exception):
+    """What is wrong with a scenario, in one line that begins with its field."""
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    pass
+
+
+class Load(Strict, kw_only=True):
+    rate_per_s: Range = 500.0  # that partners are sized for
+    factor: Range = 1.0  # of what comes, over that
+    zipf: Range = 0.6  # over couriers: the exponent of their shares of the traffic
+    partner_zipf: Range = 0.8
+    burst: Range = 1.0  # this multiple of the rate between the two shares of the play
+    burst_from: NotNegative = 0.4
+    burst_to: NotNegative = 0.6
+    shift_at: NotNegative = 0.0  # share of the play at which couriers trade shares of traffic; 0: never
+    clumps: Range = 0.0  # share of the messages that come in clumps for one partner
+    clump_s: Range = 2.0  # as many as it takes in so long
+
+
+class Cls(Strict, kw_only=True):
+    name: str
+    share: Range
+    aim_ms: Range
+    deadline_ms: Range
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    worth: NotNegative = 1.0
+    late_worth: NotNegative = 0.3
+    work_ms: Range = 60.0
+    cv: Range = 0.8
+    key_window_ms: NotNegative = 0.0
+
+
+class Kind(Strict, kw_only=True):
+    name: str
+    share: NotNegative = 1.0  # of the partners
+    limit: Literal["none", "window", "rate"] = "none"
+    headroom: Range = 1.4  # its limit, as a multiple of its calls at full load
+    full_load: Range = 1.25  # full load, as a multiple of the scenario's rate
+    calls_per_message: Range = 1.0  # what bundles leave of its calls at full load
+    least_per_s: Range = 2.0
+    span_ms: NotNegative = 2000.0
+    spare: Range = 1.4  # what it can do, as a multiple of its limit
+    slow_cv: Range = 0.5
+    bundle: Annotated[int, msgspec.Meta(ge=1)] = 1
+    item_cost: Range = 0.1
+    tells_wait: Range = 0.7  # share of refusals that tell how long to wait
+    wait_ms: Range = 500.0
+    refused_count: bool = False  # refused calls use up the limit
+    depth_s: Range = 0.5  # of the queue, in seconds of what it can do
+    routes_apart: bool = False
+    endpoints: Range = 2.2
+    connections: Range = 200.0  # that each endpoint holds, idle ones counted
+    errors: Range = 0.002
+    cold_ms: Range = 2000.0
+    cold_from: Range = 0.22
+
+
+class Net(Strict, kw_only=True):
+    zones: Annotated[int, msgspec.Meta(ge=1)] = 2
+    same_ms: Range = 2.0
+    cross_ms: Range = 4.0
+    jitter: Range = 0.2
+    handshake_ms: Range = 2.0
+    lost: Range = 0.0  # share of answers that are lost on the way
+    fee: Range = 0.0  # of the dearest zone's routes
+
+
+class Fleet(Strict, kw_only=True):
+    couriers: Annotated[int, msgspec.Meta(ge=1)] = 200
+    slots: Range = 12.0
+    held: Range = 40.0
+    tick_ms: NotNegative = 5.0
+    idle_ms: Range = 2000.0
+    connect_ms: Range = 300.0
+    back_ms: Range = 600.0  # a killed courier is back after so long
+    told_couriers: int = 0  # what the settings say, if not the truth
+
+
+class Reports(Strict, kw_only=True):
+    period_ms: Range = 100.0
+    delay_ms: Range = 20.0
+    noise: Range = 0.08
+
+
+class Clients(Strict, kw_only=True):
+    retries: Range = 2.0
+    backoff_ms: Range = 250.0
+    honour: Range = 0.7  # share that heeds a told wait
+    impatient: Range = 0.0  # share that comes again after a tenth of it, and once more
+    gives_up: Range = 0.0  # share that leaves before its answer
+    longest_wait_ms: Range = 500.0
+
+
+class Discovery(Strict, kw_only=True):
+    notice_ms: Range = 500.0
+    spread_ms: Range = 80.0
+
+
+class Front(Strict, kw_only=True):
+    notice_ms: Range = 400.0  # until it knows that a courier has died
+    again_ms: Range = 300.0  # a client whose courier died comes again after so long
+
+
+class Goal(Strict, kw_only=True):
+    whole: NotNegative = 0.35
+    worst_window: NotNegative = 0.35
+    worst_class: NotNegative = 0.2
+    worst_tenant: NotNegative = 0.1
+    window_ms: NotNegative = 10_000.0
+
+
+class Prices(Strict, kw_only=True):
+    refused: NotNegative = 0.03
+    handshake: NotNegative = 0.04
+    waste: NotNegative = 0.056
+    late_fail: NotNegative = 0.03
+
+
+TROUBLES = (
+    "down",
+    "silent",
+    "hung",
+    "errors",
+    "shut",
+    "slow",
+    "limit",
+    "zone_cut",
+    "kill",
+    "restart",
+    "join",
+    "deploy",
+    "discovery_silent",
+)
+
+
+class Trouble(Strict, kw_only=True):
+    kind: Literal[
+        "down",
+        "silent",
+        "hung",
+        "errors",
+        "shut",
+        "slow",
+        "limit",
+        "zone_cut",
+        "kill",
+        "restart",
+        "join",
+        "deploy",
+        "discovery_silent",
+    ]
+    at: Range = 0.3  # share of the play
+    len_ms: Range = 2000.0
+    part: Range = 0.3  # of the endpoints, partners, zones or couriers that it may strike
+    size: Range = 1.0  # share of calls that fail, how many times as slow, or what is left of a limit
+    by: Literal["any", "endpoint", "kind", "zone"] = "any"
+
+
+class Tenant(Strict, kw_only=True):
+    name: str
+    share: NotNegative = 1.0
+    quota: NotNegative = 1e6  # a second, over all couriers
+
+
+class Scenario(Strict, kw_only=True):
+    format: Literal[1] = 1
+    name: str
+    about: str = ""
+    seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    endpoints: Annotated[int, msgspec.Meta(ge=1)] = 20
+    late: Literal["evenly", "halves"] = "halves"
+    over_share_worth: NotNegative = 0.1
+    fall_multiple: NotNegative = 2.0
+    fall_ms: NotNegative = 500.0
+    drain_grace_ms: NotNegative = 500.0
+    load: Load = msgspec.field(default_factory=Load)
+    classes: Annotated[list[Cls], msgspec.Meta(min_length=1)]
+    kinds: Annotated[list[Kind], msgspec.Meta(min_length=1)]
+    tenants: list[Tenant] = []
+    net: Net = msgspec.field(default_factory=Net)
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
+    reports: Reports = msgspec.field(default_factory=Reports)
+    clients: Clients = msgspec.field(default_factory=Clients)
+    discovery: Discovery = msgspec.field(default_factory=Discovery)
+    front: Front = msgspec.field(default_factory=Front)
+    goal: Goal = msgspec.field(default_factory=Goal)
+    prices: Prices = msgspec.field(default_factory=Prices)
+    troubles: list[Trouble] = []
+
+
+def load(name: str, couriers: int = 0, **changes: Any) -> Scenario:
+    """A scenario of this package by its name, or a file. `couriers`, if not 0, scales fleet and traffic.
+
+    changes: by path ('load.rate_per_s'), over the file. ScenarioError names what is wrong.
+    """
+    raw = _raw(name)
+    for where, value in changes.items():
+        _put(raw, where.split("."), value, where)
+    try:
+        scenario = msgspec.convert(raw, Scenario)
+    except msgspec.ValidationError as error:
+        what, _, at = str(error).partition(" - at `$.")
+        raise ScenarioError(f"{at.rstrip('`') or name}: {what}") from None
+    if scenario.load.burst_from > scenario.load.burst_to:
+        raise ScenarioError("load.burst_from: is over load.burst_to")
+    for where, value in _numbers(scenario, ""):
+        least, most = value if isinstance(value, tuple) else (value, value)
+        if least < 0:
+            raise ScenarioError(f"{where}: must be 0 or more, not {least:g}")
+        if least > most:
+            raise ScenarioError(f"{where}: must be [least, most], not {list(value)}")
+    return scaled(scenario, couriers) if couriers else scenario
+
+
+def _raw(name: str) -> dict[str, Any]:
+    """The file's tables over those of its `base`, if it names one; a list replaces the base's."""
+    path = Path(name) if name.endswith(".toml") else FOLDER / f"{name}.toml"
+    try:
+        raw = tomllib.loads(path.read_text())
+    except FileNotFoundError:
+        known = ", ".join(sorted(p.stem for p in FOLDER.glob("*.toml")))
+        raise ScenarioError(f"{name}: no such scenario; there are {known}") from None
+    except (OSError, ValueError) as error:
+        raise ScenarioError(f"{path}: {error}") from None
+    base = raw.pop("base", None)
+    return _over(_raw(base), raw) if base else raw
+
+
+def _over(base: dict[str, Any], raw: dict[str, Any]) -> dict[str, Any]:
+    both = {
+        k: _over(base[k], v) for k, v in raw.items() if isinstance(v, dict) and isinstance(base.get(k), dict)
+    }
+    return base | raw | both
+
+
+def _put(raw: dict[str, Any], path: list[str], value: Any, where: str) -> None:
+    at: Any = raw
+    for word in path[:-1]:
+        at = at[int(word)] if isinstance(at, list) else at.setdefault(word, {})
+        if not isinstance(at, (dict, list)):
+            raise ScenarioError(f"{where}: no such table")
+    if isinstance(at, list):
+        at[int(path[-1])] = value
+    else:
+        at[path[-1]] = value
+
+
+def scaled(scenario: Scenario, couriers: int) -> Scenario:
+    """The same traffic for each courier and the same partners for each message, with another fleet."""
+    ratio = couriers / scenario.fleet.couriers
+    scenario.fleet.couriers = couriers
+    rate = scenario.load.rate_per_s
+    scenario.load.rate_per_s = tuple(v * ratio for v in rate) if isinstance(rate, tuple) else rate * ratio
+    return scenario
+
+
+def _numbers(value: Any, path: str):
+    """Every number and range with its path."""
+    for field in msgspec.structs.fields(value):
+        inner, where = getattr(value, field.name), f"{path}{field.name}"
+        if isinstance(inner, (tuple, float, int)):
+            yield where, inner
+        elif isinstance(inner, msgspec.Struct):
+            yield from _numbers(inner, where + ".")
+        elif isinstance(inner, list):
+            for at, row in enumerate(inner):
+                yield from _numbers(row, f"{where}[{at}].")
+
+
+def draw(scenario: Scenario, seed: int) -> Scenario:
+    """One day: every range replaced by the number that this seed gives it. The scenario stays as it is."""
+    return _drawn(scenario, seed, "")
+
+
+def _drawn(value: Any, seed: int, path: str) -> Any:
+    if isinstance(value, msgspec.Struct):
+        return type(value)(
+            **{
+                f.name: _drawn(getattr(value, f.name), seed, f"{path}.{f.name}")
+                for f in msgspec.structs.fields(value)
+            }
+        )
+    if isinstance(value, list):
+        return [_drawn(row, seed, f"{path}[{at}]") for at, row in enumerate(value)]
+    if isinstance(value, tuple):
+        return float(stream(seed, "scenario" + path).uniform(*value))
+    return value
--- /dev/null
+++ b/hopmill/lab/search.py
@@ -0,0 +1,74 @@
+"""The days on which a build does worst, and the smallest day that still shows it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import numpy as np
+
+from hopmill.lab.chance import stream
+from hopmill.lab.farm import Build, Job, run
+from hopmill.lab.scenario import load
+
+RANGES = {  # what a search may change, and between which values
+    "load.rate_per_s": (0.5, 2.0),
+    "load.burst": (1.0, 3.0),
+    "load.zipf": (0.0, 1.5),
+    "load.clumps": (0.0, 0.5),
+    "reports.noise": (0.0, 0.4),
+    "reports.delay_ms": (1, 1000),
+    "net.lost": (0.0, 0.05),
+}
+
+
+def worst(
+    build: Build, scenario: str, couriers: int, tries: int, seed: int, progress: Callable[[int, int], None]
+) -> list[dict[str, Any]]:
+    """Random days around a scenario, the worst first: each with the changes that make it.
+
+    A broken rule comes before any loss. The rate is a multiple of the scenario's.
+    """
+    rate = load(scenario, couriers).load.rate_per_s
+    base = float(np.mean(rate))
+    jobs = []
+    for n in range(tries):
+        chance = stream(seed, f"search {n}")
+        changes = {
+            name: round(float(chance.uniform(*span)), 4)
+            for name, span in RANGES.items()
+            if chance.random() < 0.5
+        }
+        if "load.rate_per_s" in changes:
+            changes["load.rate_per_s"] = round(changes["load.rate_per_s"] * base, 3)
+        jobs.append((Job(build, scenario, couriers, changes), seed * 1000 + n))
+    rows = [row | {"changes": job.changes} for row, (job, _) in zip(run(jobs, progress), jobs, strict=True)]
+    return sorted(rows, key=lambda row: (not row.get("broken"), row["g"], row["seed"]))
+
+
+def shrink(
+    build: Build, scenario: str, couriers: int, row: dict[str, Any], progress: Callable[[str], None]
+) -> dict[str, Any]:
+    """Leaves out changes, then couriers and time, while the day still breaks that rule or loses as much."""
+    rule, g, seed = row.get("broken"), row["g"], row["seed"]
+    size = couriers or load(scenario).fleet.couriers
+
+    def still(changes: dict[str, Any], fleet: int) -> bool:
+        got = next(run([(Job(build, scenario, fleet, changes), seed)]))
+        return got.get("broken") == rule if rule else got["g"] <= g + 0.02
+
+    changes = dict(row["changes"])
+    for name in list(changes):
+        fewer = {k: v for k, v in changes.items() if k != name}
+        if still(fewer, size):
+            changes = fewer
+            progress(f"without {name}")
+    seconds = float(changes.get("seconds", load(scenario).seconds))
+    while seconds > 4 and still(changes | {"seconds": seconds / 2}, size):
+        seconds /= 2
+        changes["seconds"] = seconds
+        progress(f"{seconds:g} s")
+    while size > 2 and "load.rate_per_s" not in changes and still(changes, size // 2):
+        size //= 2
+        progress(f"{size} couriers")
+    return {"scenario": scenario, "seed": seed, "couriers": size, "changes": changes}
--- /dev/null
+++ b/hopmill/lab/worker.py
@@ -0,0 +1,65 @@
+"""A process that plays seeds for one build. Run as a file: the build's module is put in place first.
+
+Its first line of input is a JSON object of what to play; then it reads seeds and writes a JSON line each.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import json
+import sys
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent.parent  # hopmill, with this laboratory
+MODULE = ("interface", "brain", "links", "zones", "policy")  # what a build's decisions are made of
+
+
+class Build:
+    """Finds the module's files in another checkout and everything else here."""
+
+    def __init__(self, checkout: Path) -> None:
+        self.package = checkout / "hopmill"
+
+    def find_spec(self, name, path=None, target=None):
+        words = name.split(".")
+        if words[0] != "hopmill":
+            return None
+        if len(words) == 1:
+            return importlib.util.spec_from_file_location(
+                name, self.package / "__init__.py", submodule_search_locations=[str(HERE)]
+            )
+        if words[1] not in MODULE:
+            return None
+        at = self.package.joinpath(*words[1:])
+        for file, inside in ((at / "__init__.py", [str(at)]), (at.with_suffix(".py"), None)):
+            if file.exists():
+                return importlib.util.spec_from_file_location(name, file, submodule_search_locations=inside)
+        raise ModuleNotFoundError(f"this build has no {name}", name=name)
+
+
+def main() -> int:
+    task = json.loads(sys.stdin.readline())
+    sys.path[:] = [entry for entry in sys.path if Path(entry or ".").resolve() != HERE / "lab"]
+    sys.path.insert(0, str(HERE.parent))
+    if task.get("checkout"):
+        sys.meta_path.insert(0, Build(Path(task["checkout"])))
+    try:
+        from hopmill.lab.dialect import DialectError
+        from hopmill.lab.play import override, play
+        from hopmill.lab.scenario import ScenarioError, load
+
+        override(task["override"])
+        scenario = load(task["scenario"], task["couriers"], **task["changes"])
+        print(json.dumps({"ready": True}), flush=True)
+        for line in sys.stdin:
+            print(json.dumps(play(scenario, int(line), task["more"])), flush=True)
+    except (ScenarioError, DialectError, KeyError, ModuleNotFoundError) as error:
+        print(json.dumps({"error": f"{type(error).__name__}: {error}"}), flush=True)
+        return 2
+    except KeyboardInterrupt:
+        return 130
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hopmill/standin/scene.py
+++ b/hopmill/standin/scene.py
@@ -33,7 +33,7 @@
 report_fields = ["x0", "x1"]
 key_rest_ms = 200
 zones = [{zones}]
-kinds = [{{name = "plain"}}, {{name = "bundles", bundle = 10}}, {{name = "apart", routes_apart = true}}]
+kinds = [{{name = "plain"}}, {{name = "bundles", bundle = {bundle}}}, {{name = "apart", routes_apart = true}}]
 tenants = [{{name = "demo", share = 1.0, quota_per_s = 1e6}}]
 log = {{level = "{level}", lines_per_s = 2000}}
 limits = {{disk_mb = 16}}
@@ -71,8 +71,11 @@
 class Scene:
     """Everything that a demo starts. `run` ends all of it, however it ends itself."""
 
-    def __init__(self, options: Options, folder: Path) -> None:
+    def __init__(self, options: Options, folder: Path, partners: list[Plan] | None = None,
+                 kinds: list[Kind] | None = None) -> None:
+        """partners, kinds: of messages; the demo's own if none are given."""
         self.o, self.folder = options, folder
+        self.plans, self.kinds = partners or plans(options.rate), kinds or KINDS
         self.ledger = Ledger()
         self.discovery = Discovery(self.ledger.noted)
         self.partners: list[Partner] = []
@@ -93,7 +96,7 @@
     async def _start(self) -> None:
         chance, now = random.Random(self.o.seed), asyncio.get_running_loop().time()
         await self.discovery.start()
-        for plan in plans(self.o.rate):
+        for plan in self.plans:
             partner = Partner(plan, ZONES, self.ledger, chance, now)
             self.partners.append(partner)
             for machine in partner.machines:
@@ -101,19 +104,19 @@
                 self.discovery.target(machine.uid, machine.port, plan.number, plan.kind, rate=plan.rate_per_s,
                                       zone=machine.zone)
         for me in range(self.o.couriers):
-            text = courier_toml(self.discovery.port, self.o, me)
+            text = courier_toml(self.discovery.port, self.o, me, self.kinds)
             self.couriers.append(CourierProcess(f"courier-{me}", self.folder, text))
         await asyncio.gather(*(c.start() for c in self.couriers))
 
     async def _play(self, progress: Callable[[Progress], None]) -> None:
         loop = asyncio.get_running_loop()
         start = loop.time()
-        load = Load(self.ledger, KINDS, [p.plan.number for p in self.partners],
+        load = Load(self.ledger, self.kinds, [p.plan.number for p in self.partners],
                     lambda: [c.port for c in self.couriers if c.taking], random.Random(self.o.seed + 1))
         async with asyncio.TaskGroup() as group:
             handing_in = group.create_task(load.run(self.o.rate, self.o.seconds))
             trouble = group.create_task(self._trouble())
-            until = start + self.o.seconds + max(k.life_s for k in KINDS) + 2 * SLACK_S
+            until = start + self.o.seconds + max(k.life_s for k in self.kinds) + 2 * SLACK_S
             while not (handing_in.done() and trouble.done() and not self.ledger.open(loop.time())):
                 await asyncio.sleep(STEP_S)
                 await self._keep_up()
@@ -185,11 +188,11 @@
             Plan(5, "paper", "apart", rate_per_s=max(6.0, each), routes_apart=True)]
 
 
-def courier_toml(discovery: int, options: Options, me: int) -> str:
+def courier_toml(discovery: int, options: Options, me: int, kinds: list[Kind]) -> str:
     """The configuration of one courier, after what says who and where it is."""
-    effects = [(k, "unsafe" if k.unsafe else "keyed" if k.keyed else "safe") for k in KINDS]
+    effects = [(k, "unsafe" if k.unsafe else "keyed" if k.keyed else "safe") for k in kinds]
     return COURIER.format(
         host=HOST, discovery=discovery, seed=options.seed + me, level=options.log_level,
-        couriers=options.couriers, me=me, zones=", ".join(f'{{name = "{z}"}}' for z in ZONES),
+        couriers=options.couriers, me=me, bundle=10, zones=", ".join(f'{{name = "{z}"}}' for z in ZONES),
         classes="\n".join(CLASS.format(k.cls, int(k.aim_s * 1e3), int(k.life_s * 1e3), effect,
                                        8000 if k.keyed else 0) for k, effect in effects))
