Split the module into rooms, one decision a file, as a move alone

Need: brain.py was one class of sixty methods over 900 lines, each of which could touch all of its state. Change: hopmill/policy holds turn, state, gate, ranking, pacing, timeouts, circuit, evidence, connections, admission, worth, links and zones; the courier joins them. What is held and out has one writer, the courier; each learned figure has one owner.

--- a/hopmill/cli/lab.py
+++ b/hopmill/cli/lab.py
@@ -87,7 +87,7 @@
     cores: Cores = 0,
     as_json: JsonOption = False,
 ) -> None:
-    """A and B: revisions, folders, or settings as brain.GROW=0.2. B minus A on the same seeds."""
+    """A and B: revisions, folders, or settings as policy.pacing.GROW=0.2. B minus A on the same seeds."""
     from hopmill.lab import compare as c
     from hopmill.lab import farm
 
@@ -123,7 +123,7 @@
                 )
 
 
-@lab.command(epilog="Example: hopmill lab sweep brain.GROW 0.05,0.1,0.2 --scenario calm")
+@lab.command(epilog="Example: hopmill lab sweep policy.pacing.GROW 0.05,0.1,0.2 --scenario calm")
 def sweep(
     name: str,
     values: str,
--- a/hopmill/lab/farm.py
+++ b/hopmill/lab/farm.py
@@ -55,7 +55,7 @@
 
 @contextmanager
 def build(spec: str) -> Iterator[Build]:
-    """A revision of this repository, a folder, or settings as `brain.GROW=0.2,links.HALF=0.4`.
+    """A revision of this repository, a folder, or settings as `policy.pacing.GROW=0.2,policy.links.HALF=0.4`.
 
     A revision is checked out into a temporary worktree for as long as the block lasts.
     """
--- a/hopmill/lab/play.py
+++ b/hopmill/lab/play.py
@@ -17,7 +17,7 @@
 
 
 def override(changes: dict[str, str]) -> None:
-    """'brain.GROW': '0.2' sets that name of a module under hopmill. KeyError names what is not there."""
+    """'policy.pacing.GROW': '0.2' sets that name of a module under hopmill. KeyError: there is none."""
     for path, text in changes.items():
         where, _, name = path.rpartition(".")
         module = importlib.import_module(f"hopmill.{where}")
@@ -51,7 +51,8 @@
     """At the play's end: for each lane its limit beside the sum of the couriers' parts and paces."""
     sums: dict[str, list[float]] = {}
     for courier in world.couriers:
-        dests = getattr(courier.module, "dests", None) or {}
+        book = getattr(courier.module, "book", courier.module)  # earlier builds hold these themselves
+        dests = getattr(book, "dests", None) or {}
         for dest in dests.values():
             for lane in getattr(dest, "lanes", ()):
                 name = f"{dest.number}.{next(iter(lane.endpoints), 0)}"
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -13,7 +13,7 @@
 
 from hopmill import interface as i
 from hopmill import logs, observe
-from hopmill.brain import Courier
+from hopmill.policy.courier import Courier
 from hopmill.net.accept import listening_socket
 from hopmill.net.calls import Calls, Hooks, Item, Outcome
 from hopmill.net.clients import BACKLOG, BadRequest, ClientServer, Put, Reply
--- a/hopmill/net/metrics.py
+++ b/hopmill/net/metrics.py
@@ -93,7 +93,7 @@
                  sum(not m.status for m in host.journal.held.values())),
                 ("hopmill_notices_owed", "Notices that the platform has not accepted.",
                  len(host.notices.waiting)),
-                ("hopmill_slots_used", "Calls in flight.", host.courier.out),
+                ("hopmill_slots_used", "Calls in flight.", host.courier.book.out),
                 ("hopmill_slots", "Calls that may be in flight.", host.s.slots),
                 ("hopmill_journal_bytes", "Size of the journal.", host.journal.size),
                 ("hopmill_journal_limit_bytes", "What the folder may hold.", host.journal.limit),
--- a/hopmill/observe.py
+++ b/hopmill/observe.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from hopmill.brain import Circuit, Courier, Lane
+from hopmill.policy.courier import Courier
+from hopmill.policy.state import Circuit, Lane
 
 
 @dataclass(frozen=True)
@@ -26,7 +27,7 @@
 
 def lanes(courier: Courier, now_us: int) -> Iterator[LaneRow]:
     """One row a lane."""
-    for dest in courier.dests.values():
+    for dest in courier.book.dests.values():
         apart = courier.s.kinds[dest.kind].routes_apart
         for lane in dest.lanes:
             yield LaneRow(dest.number, next(iter(lane.endpoints), None) if apart else None, len(dest.queue),
@@ -41,7 +42,7 @@
 
 def circuits(courier: Courier) -> Counter[str]:
     """Circuits by state; one that several endpoints share counts once."""
-    distinct = {id(ep.c): ep.c for ep in courier.endpoints.values()}
+    distinct = {id(ep.c): ep.c for ep in courier.book.endpoints.values()}
     states = Counter({"open": 0, "slow_start": 0, "closed": 0})
     states.update(map(circuit_state, distinct.values()))
     return states
@@ -51,8 +52,8 @@
     """For staff: each endpoint of the list with its partner, zone number, state and calls."""
     return [{"endpoint": name(ep.id), "partner": _partner(ep.lane), "zone": ep.zone,
              "state": ep.state.name.lower(), "circuit": circuit_state(ep.c), "out": len(ep.out),
-             "failing_share": round(ep.bad, 3), "out_by_hand": ep.id in courier.by_hand}
-            for ep in courier.endpoints.values()]
+             "failing_share": round(ep.bad, 3), "out_by_hand": ep.id in courier.book.by_hand}
+            for ep in courier.book.endpoints.values()]
 
 
 def _partner(lane: Lane) -> int:
--- a/hopmill/simhost.py
+++ b/hopmill/simhost.py
@@ -7,7 +7,7 @@
 
 from hopmill import interface as i
 from hopmill import wire
-from hopmill.brain import Courier
+from hopmill.policy.courier import Courier
 
 BACK = (i.Result.OK, i.Result.ERROR, i.Result.FULL)  # a call that ends so leaves its connection idle
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hopmill.brain import Courier
+from hopmill.policy.courier import Courier
 from hopmill.interface import (
     AttemptEnded,
     CallCarried,
@@ -162,7 +162,7 @@
         h.end(h.next, Result.OK)
         h.end(lost, Result.TIMEOUT)
     h.idle(1)
-    (ep,) = h.courier.endpoints.values()
+    (ep,) = h.courier.book.endpoints.values()
     assert not ep.c.open and ep.c.ramp_from < 0
 
 
@@ -186,7 +186,7 @@
     h = Host(rate=8.0, cold_share=0.1, cold_us=10 * S, fall_multiple=2.5)
     serve(h, 5, Result.OK)
     down = serve(h, 6, how)
-    assert h.courier.endpoints[100].c.open and down < 20
+    assert h.courier.book.endpoints[100].c.open and down < 20
     first, _, last = serve(h, 4, Result.OK), serve(h, 8, Result.OK), serve(h, 4, Result.OK)
     # the budget of the contract: the multiple of the present share, which grows from 0.1 to 0.46 in that time
     assert 0 < first <= 2.5 * (0.1 + 0.46) / 2 * 8 * 4 + 1
@@ -231,24 +231,24 @@
     sent = serve(h, 10, Result.ERROR)
     # more than trials with growing gaps would send, and inside the contract's budget for a cold destination
     assert 2 * 10 < sent <= 2.5 * 0.2 * 8 * 10 + 6
-    assert not h.courier.endpoints[100].c.open
+    assert not h.courier.book.endpoints[100].c.open
 
 
 def test_time_outs_are_short_where_many_calls_are_lost():
     h = Host(slots=40)
     warm(h, 40)
-    calm = h.courier.loss
+    calm = h.courier.timeouts.loss
     for _ in range(10):
         sends = of(Send, h.arrive(after=300_000) + h.arrive())
         for a in sends[1:]:
             h.end(a.message, Result.OK)
         h.end(sends[0].message, Result.TIMEOUT)
-    lane = h.courier.endpoints[100].lane
+    lane = h.courier.book.endpoints[100].lane
     lane.mean, lane.dev = 100_000.0, 75_000.0
-    lossy = h.courier._timeout(lane)
-    assert h.courier.loss > 10 * calm
-    h.courier.loss = calm
-    assert lossy < 0.7 * h.courier._timeout(lane)
+    lossy = h.courier.timeouts.of(lane)
+    assert h.courier.timeouts.loss > 10 * calm
+    h.courier.timeouts.loss = calm
+    assert lossy < 0.7 * h.courier.timeouts.of(lane)
 
 
 def test_pace_grows_slowly_near_the_rate_that_was_refused_last():
@@ -258,7 +258,7 @@
         if refused:
             for a in of(Send, h.arrive() + h.idle(1)):
                 h.end(a.message, Result.FULL)
-        lane = h.courier.endpoints[100].lane
+        lane = h.courier.book.endpoints[100].lane
         lane.brink = lane.rate = 2.0
         serve(h, 3, Result.OK)
         return lane.rate - 2.0
@@ -267,7 +267,7 @@
 
 def test_a_full_message_waits_here_where_no_client_comes_again():
     h = Host(clients_mark_retries=True, classes=CLASSES)
-    h.courier.unreturned = 20
+    h.courier.admission.unreturned = 20
     h.arrive()
     acts = h.end(1, Result.FULL, told=S)
     assert not of(Refuse, acts) and not of(Send, acts + h.idle(0.95)) and of(Send, h.idle(4))
@@ -279,7 +279,7 @@
 def test_a_bucket_is_smaller_where_refused_calls_are_priced():
     def at_once(price):
         h = Host(rate=10.0, slots=40, refused_price=price)
-        h.courier.endpoints[100].lane.window = 20.0
+        h.courier.book.endpoints[100].lane.window = 20.0
         h.idle(2)
         return sum(len(of(Send, h.arrive())) for _ in range(12))
     assert 1 < at_once(0.1) < at_once(0.0) < 12
@@ -291,8 +291,8 @@
     h.arrive()
     h.end(h.next, Result.ERROR, after=50_000)
     h.end(h.next, Result.ERROR, after=500_000) if of(Send, h.idle(0.3)) else None
-    h.courier.messages.clear()
-    h.courier.dests[1].queue.clear()
+    h.courier.book.messages.clear()
+    h.courier.book.dests[1].queue.clear()
     early = of(Send, h.arrive(cls=2) + h.idle(1))
     late = of(Send, h.idle(6))
     assert not [a for a in early if a.message == h.next] and [a for a in late if a.message == h.next]
@@ -335,18 +335,18 @@
     acts = new.handle(old.now, [listed, *carried, begun, held,
                                 CallCarried(first.endpoint, old.now - S, (first.message,))])
     assert not of(Send, acts) and not of(Fail, acts)  # the wait is kept, the unsafe one is not given up
-    assert new.out == 1
+    assert new.book.out == 1
     assert of(Send, new.handle(old.now + 6 * S, []))  # the held one, once the wait is over
     acts = new.handle(old.now + 6 * S, [AttemptEnded(first.message, 0, first.endpoint, Result.ERROR, 9 * S)])
-    assert [a.message for a in of(Fail, acts)] == [first.message] and new.out == 1
+    assert [a.message for a in of(Fail, acts)] == [first.message] and new.book.out == 1
 
 
 def test_a_carried_call_to_an_endpoint_that_has_gone_keeps_its_slot():
     new = Courier(Settings(classes=CLASSES, slots=8, max_held=100), 9)
     new.handle(0, [MessageArrived(1, 0, 1, 9 * S, tries=1, out=True), CallCarried(5, 0, (1, 2))])
-    assert new.out == 1
+    assert new.book.out == 1
     new.handle(S, [AttemptEnded(1, 0, 5, Result.OK, S, True)])
-    assert new.out == 0 and not new.messages
+    assert new.book.out == 0 and not new.book.messages
 
 
 def test_where_calls_are_lost_and_slots_are_short_an_unsafe_call_is_not_waited_for_in_vain():
@@ -370,7 +370,7 @@
     assert patience(h) == CLASSES[2].aim_us
     h.arrive()
     h.arrive(dest=2)
-    assert h.courier.out == 3
+    assert h.courier.book.out == 3
     assert patience(h) < CLASSES[2].aim_us * 0.8
 
 
@@ -395,13 +395,13 @@
         h.end(reused, Result.OK, after=20_000)  # two are idle now
         reused, answered = send(), send()
         lose(reused, answered)
-    assert (h.courier.keep == h.courier.s.connection_idle_us) is new_ones_too
+    assert (h.courier.connections.keep == h.courier.s.connection_idle_us) is new_ones_too
 
 
 def two_routes(**changes):
     """A partner with two routes: calls to 100 last 0.9 s, calls to 101 0.1 s."""
     h = Host(endpoints=2, kinds=(Kind("k", routes_apart=True),), **changes)
-    for ep in h.courier.endpoints.values():
+    for ep in h.courier.book.endpoints.values():
         ep.lane.window = 8.0
         ep.lane.mean = ep.lane.hold = 9e5 if ep.id == 100 else 1e5
     return h
@@ -414,7 +414,7 @@
         send = of(Send, h.arrive())[0]
         assert send.endpoint == 101
         h.end(send.message, Result.OK, endpoint=101)
-    h.courier.endpoints[101].lane.wait_until = h.now + S
+    h.courier.book.endpoints[101].lane.wait_until = h.now + S
     assert of(Send, h.arrive())[0].endpoint == 100  # but it is used
 
 
@@ -422,7 +422,7 @@
     h = two_routes(slots=1)
     h.do(EndpointsListed(ListForm.DELTA, (ListEntry(200, 2, EndpointState.READY),)))
     busy = of(Send, h.arrive(dest=2))[0]
-    other = h.courier.endpoints[200].lane
+    other = h.courier.book.endpoints[200].lane
     h.arrive(dest=2)
     waiting = h.next + 1
     h.arrive(dest=1)
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -316,7 +316,7 @@
                                     "discovery": f"127.0.0.1:{fleet.discovery.port}"}))
         reload()
         fleet.host.turn()
-        assert fleet.host.courier.warm_up is on
+        assert fleet.host.courier.connections.warm_up is on
         assert fleet.host.moved_to  # a wrong option does not keep it from following discovery
 
 
@@ -417,7 +417,7 @@
         patch.setattr(fleet.host.calls, "_start", lambda call: 1 / 0)
         assert await client.put("m1", kind="unsafe") == "+OK"
         assert (await fleet.discovery.final())["status"] == "deferred"
-    assert fleet.host.courier.out == 0
+    assert fleet.host.courier.book.out == 0
     await client.put("m2")
     assert (await fleet.endpoints["a"].call())[1]["x-request-id"] == "m2"
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 import pytest
 from test_brain import CLASSES, Host, S, of
 
-from hopmill.brain import Courier
+from hopmill.policy.courier import Courier
 from hopmill.interface import (
     AttemptEnded, CloseIdle, Connections, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm,
     MessageArrived, Refuse, Result, Send, Settings)
@@ -27,7 +27,7 @@
     h.arrive()
     assert not of(CloseIdle, h.end(1, Result.OK))
     assert of(Send, h.arrive(after=5 * S))
-    (call, _), = h.courier.calls.values()
+    (call, _), = h.courier.book.calls.values()
     assert call.idle_us == 5 * S
 
 
@@ -37,19 +37,19 @@
     def call(idle, result):
         h.connected.idle[100] = [h.now - idle]
         h.do(Connections(100, (h.now - idle,)))
-        c = h.courier.endpoints[100].c
-        c.open, c.ramp_from, c.trial, c.bad, h.courier.endpoints[100].dirty = False, -1, None, 0.0, 0.0
+        c = h.courier.book.endpoints[100].c
+        c.open, c.ramp_from, c.trial, c.bad, h.courier.book.endpoints[100].dirty = False, -1, None, 0.0, 0.0
         acts = h.arrive(cls=2)  # unsafe: tried once
         h.end(h.next, result)
         h.idle(1)
         return len(of(CloseIdle, acts))
 
     assert not call(6 * S, Result.OK)
-    assert not call(4 * S, Result.RESET) and h.courier.keep == 10 * S  # one lost call may be chance
-    assert not call(4 * S, Result.RESET) and h.courier.keep < 4 * S
-    trusted = h.courier.keep
+    assert not call(4 * S, Result.RESET) and h.courier.connections.keep == 10 * S  # it may be chance
+    assert not call(4 * S, Result.RESET) and h.courier.connections.keep < 4 * S
+    trusted = h.courier.connections.keep
     assert call(4 * S, Result.OK) == 1
-    assert not call(trusted // 2, Result.OK) and h.courier.keep > trusted
+    assert not call(trusted // 2, Result.OK) and h.courier.connections.keep > trusted
 
 
 def test_a_clump_met_by_all_couriers_at_once_passes_a_listed_limit_by_a_call_each_at_most():
@@ -63,7 +63,7 @@
         for step in range(40):  # 2 s, the messages within the first 0.2 s
             now = S + step * 50_000
             events = [MessageArrived(step, 0, 1, now + 10 * S)] if step < 4 else []
-            events += [AttemptEnded(m, 0, 100, Result.OK, 50_000, True) for m, _ in c.calls]
+            events += [AttemptEnded(m, 0, 100, Result.OK, 50_000, True) for m, _ in c.book.calls]
             sent += len(of(Send, c.handle(now, events)))
     assert couriers <= sent <= couriers + 2 * rate
 
@@ -90,8 +90,8 @@
         for k in range(couriers) if step % 20 == 0 else sorted(inbox):
             for a in all_[k].handle(now, inbox.get(k, [])):
                 if isinstance(a, Send):
-                    sent.append((now, all_[k].endpoints[100].c.bad > 0))
-                    tries = all_[k].messages[a.message].tries - 1
+                    sent.append((now, all_[k].book.endpoints[100].c.bad > 0))
+                    tries = all_[k].book.messages[a.message].tries - 1
                     calls.append(((now + 50_000, k), ended(a.message, tries, how)))
     informed = sum(1 for at, seen in sent if seen and at > 1000 * S + 20 * S) / 20
     assert 0 < informed <= multiple * cold * rate
@@ -105,11 +105,11 @@
     h = fleet(rate=400.0)
     h.arrive()
     acts = h.end(1, Result.CONNECT_FAILED, latency=20_000)
-    assert h.courier.endpoints[100].c.open  # others wait for their share
+    assert h.courier.book.endpoints[100].c.open  # others wait for their share
     assert not [a for a in of(Send, acts + h.arrive() + h.arrive()) if a.message > 1]
     assert of(Send, acts + h.idle(0.5))
     h.end(1, Result.OK)
-    c = h.courier.endpoints[100].c
+    c = h.courier.book.endpoints[100].c
     assert not c.open and c.ramp_from < 0
 
 
@@ -119,7 +119,7 @@
     for _ in range(3):
         h.end(1, Result.CONNECT_FAILED, latency=20_000, endpoint=100)
         h.idle(1)
-    one, other = (h.courier.endpoints[100 + k] for k in (0, 1))
+    one, other = (h.courier.book.endpoints[100 + k] for k in (0, 1))
     assert one.c is other.c and one.c.open
     for _ in range(20):
         sends = of(Send, h.arrive(after=100_000))
@@ -133,7 +133,7 @@
     starts = 0
     for seed in range(40):
         h = fleet(rate=10.0)
-        h.courier.random.seed(seed)
+        h.courier.turn.random.seed(seed)
         h.arrive()
         h.end(1, Result.FULL, told=8 * S)  # so long a wait is a shut destination's
         acts = []
@@ -215,7 +215,7 @@
             self.now += 50_000
             arrives = step % int(20 / each_per_s) == 0
             sent += self.do(lambda c, step=step, arrives=arrives: [
-                *[AttemptEnded(m, attempt, 100, *ends) for m, attempt in c.calls],
+                *[AttemptEnded(m, attempt, 100, *ends) for m, attempt in c.book.calls],
                 *([MessageArrived(self.ident + step, 0, 1, self.now + 60 * S)] if arrives else [])])
         return sent / seconds
 
@@ -231,9 +231,9 @@
 
 def test_a_limit_told_within_chance_of_the_known_one_moves_the_pace_little():
     h = Host(rate=10.0, report_fields=("x0", "x1"))
-    lane = h.courier.endpoints[100].lane
+    lane = h.courier.book.endpoints[100].lane
     for k in range(30):
-        h.courier._reported(lane, (0.5 + k * 1e-6, 10.0 * (0.85, 1.15)[k % 2]))
+        h.courier.pacing.reported(lane, (0.5 + k * 1e-6, 10.0 * (0.85, 1.15)[k % 2]))
     assert 9 < lane.listed < 11
 
 
@@ -265,10 +265,10 @@
 
 def test_one_report_that_many_answers_repeat_counts_once():
     h = Host(rate=10.0, report_fields=("x0", "x1"))
-    lane = h.courier.endpoints[100].lane
+    lane = h.courier.book.endpoints[100].lane
     for _ in range(20):
         h.arrive()
-        h.courier._reported(lane, (0.9, 10.0))
+        h.courier.pacing.reported(lane, (0.9, 10.0))
     assert lane.rate < 1.5 * 10
 
 
@@ -292,7 +292,7 @@
 
 def test_what_can_be_reached_within_its_life_is_held_and_not_handed_back():
     h = fleet(rate=20.0)  # a part of a call in 5 s
-    h.courier.spread = 0.0
+    h.courier.pacing.spread = 0.0
     h.arrive()
     h.end(h.next, Result.OK)
     assert not of(Refuse, h.arrive(life=6 * S))  # its turn comes at four fifths of its life
@@ -306,7 +306,7 @@
     acts = []
     for _ in range(12):
         acts += h.arrive()
-    assert len(h.courier.messages) <= 8 and of(Refuse, acts)
+    assert len(h.courier.book.messages) <= 8 and of(Refuse, acts)
     assert of(Send, h.arrive(dest=2))
 
 
@@ -316,8 +316,8 @@
     for n in range(3000):
         h.do(EndpointsListed(ListForm.DELTA, (entry(101 + n), entry(100 + n, state=EndpointState.GONE))))
     c = h.courier
-    assert len(c.endpoints) == 1 and len(c.dests[1].lanes) <= 2
-    assert sum(len(x.endpoints) for x in c.dests[1].lanes) == 1
+    assert len(c.book.endpoints) == 1 and len(c.book.dests[1].lanes) <= 2
+    assert sum(len(x.endpoints) for x in c.book.dests[1].lanes) == 1
     assert of(Send, h.arrive())[0].endpoint == 3100
 
 
@@ -334,7 +334,7 @@
 def test_a_message_for_a_destination_without_endpoints_is_refused_in_time():
     h = Host()
     h.arrive(dest=9, life=2 * S)
-    assert of(Refuse, h.idle(2.1)) and not of(Fail, h.idle(0.1)) and not h.courier.messages
+    assert of(Refuse, h.idle(2.1)) and not of(Fail, h.idle(0.1)) and not h.courier.book.messages
 
 
 @pytest.mark.parametrize("field, change", [("couriers", {"couriers": 0}), ("me", {"couriers": 2, "me": 2})])
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -122,7 +122,8 @@
 
 
 def test_equal_builds_differ_by_nothing_and_intervals_hold_what_they_say():
-    found, a, b = cmp.compare(farm.Build(), farm.Build(override={"brain.GROW": "0.1"}), "calm", 4, [1, 2])
+    same = farm.Build(override={"policy.pacing.GROW": "0.1"})
+    found, a, b = cmp.compare(farm.Build(), same, "calm", 4, [1, 2])
     assert a == b and all(d.mean == d.low == d.high == 0 and d.sign == 0 for d in found)
     chance = np.random.default_rng(5)
     outside = [0 if low <= 0.3 <= high else 1 for low, high in (
@@ -131,7 +132,7 @@
 
 
 def test_a_comparison_sees_a_change_and_ends_once_it_knows_enough():
-    other = farm.Build(override={"brain.BURST_PRICED_S": "0.0001", "brain.FLOOR": "0.01"})
+    other = farm.Build(override={"policy.pacing.BURST_PRICED_S": "0.0001", "policy.pacing.FLOOR": "0.01"})
     found, a, _ = cmp.compare(farm.Build(), other, "calm", 4, list(range(1, 33)), goal=1.0)
     assert len(a) == cmp.LEAST and found[0].seeds == cmp.LEAST
     assert found[0].a != found[0].b
@@ -174,7 +175,7 @@
 
 
 def deaf_to_waits(inner, now, events, actions):
-    for dest in inner.dests.values():
+    for dest in inner.book.dests.values():
         for lane in dest.lanes:
             lane.wait_until = lane.refused = 0
             lane.rate = lane.tokens = 1e9
@@ -182,15 +183,15 @@
 
 
 def deaf_to_the_list(inner, now, events, actions):
-    for ep in inner.endpoints.values():
+    for ep in inner.book.endpoints.values():
         ep.state = i.EndpointState.READY
     return actions
 
 
 def greedy(inner, now, events, actions):
-    inner.s = replace(inner.s, slots=10**6)
-    inner.cap = 10**6
-    for dest in inner.dests.values():
+    inner.gate.s = inner.s = replace(inner.s, slots=10**6)
+    inner.pacing.cap = 10**6
+    for dest in inner.book.dests.values():
         for lane in dest.lanes:
             lane.window = 10**6
             lane.rate = 0.0
@@ -286,10 +287,12 @@
 
 
 def test_a_checkout_plays_its_own_module(tmp_path):
-    (tmp_path / "hopmill").mkdir()
-    for name in ("__init__", "interface", "brain", "links", "zones"):
-        text = (ROOT / "hopmill" / f"{name}.py").read_text()
-        (tmp_path / "hopmill" / f"{name}.py").write_text(text.replace("TRIES = 3 ", "TRIES = 1 "))
+    (tmp_path / "hopmill" / "policy").mkdir(parents=True)
+    for path in (ROOT / "hopmill" / "policy").glob("*.py"):
+        text = path.read_text().replace("TRIES = 3 ", "TRIES = 1 ")
+        (tmp_path / "hopmill" / "policy" / path.name).write_text(text)
+    for name in ("__init__.py", "interface.py"):
+        (tmp_path / "hopmill" / name).write_text((ROOT / "hopmill" / name).read_text())
     with farm.build(str(tmp_path)) as other, farm.build(".") as this:
         jobs = [(farm.Job(b, "split", 4, {"seconds": 5.0, "net.lost": 0.2}), 1) for b in (this, other)]
         here, there = farm.run(jobs)
@@ -300,8 +303,8 @@
 
 def test_an_ended_run_keeps_the_seeds_that_are_done():
     process = subprocess.Popen(
-        [sys.executable, "-m", "hopmill", "lab", "run", "calm", "--couriers", "8", "--seeds", "1-400", "--json",
-         "--cores", "2"], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+        [sys.executable, "-m", "hopmill", "lab", "run", "calm", "--couriers", "8", "--seeds", "1-400",
+         "--json", "--cores", "2"], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
         start_new_session=True)
     lines = [process.stdout.readline() for _ in range(2)]
     os.killpg(process.pid, signal.SIGINT)
@@ -314,8 +317,8 @@
     path = tmp_path / "turns.jsonl"
     assert replay.record(small("herd", 6), 1, 2, path) > 20
     assert replay.first_difference(path) is None
-    monkeypatch.setattr("hopmill.brain.BASE_US", 5)
-    monkeypatch.setattr("hopmill.brain.TICKS", 400)
+    monkeypatch.setattr("hopmill.policy.pacing.BASE_US", 5)
+    monkeypatch.setattr("hopmill.policy.turn.TICKS", 400)
     found = replay.first_difference(path)
     assert found and found.startswith("at ") and "recorded" in found
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,11 +5,11 @@
 import pytest
 from test_brain import CLASSES, Host, S, of
 
-from hopmill.brain import Courier
+from hopmill.policy.courier import Courier
 from hopmill.interface import (
     AttemptEnded, Carried, CloseIdle, Connections, EndpointsListed, EndpointState, Keep, ListEntry, ListForm,
     MessageArrived, OpenIdle, Result, Send, Settings, WarmUp)
-from hopmill.links import Links
+from hopmill.policy.links import Links
 
 IDLE = 10 * S
 
@@ -73,7 +73,7 @@
 
 def busy(h, calls=4):
     """So many calls out at once, the first over a reused connection."""
-    h.courier.endpoints[100].lane.window = 8.0
+    h.courier.book.endpoints[100].lane.window = 8.0
     h.arrive()
     h.end(1, Result.OK, after=20_000)
     for _ in range(calls):
@@ -95,8 +95,9 @@
     busy(h)
     ended(h, 2, Result.OK, 1000)
     acts = ended(h, 3, Result.CONNECT_FAILED, -1)
-    links = h.courier.endpoints[100].links
-    assert links.part < 4 and not h.courier.endpoints[100].c.open and not h.courier.endpoints[100].bad
+    links = h.courier.book.endpoints[100].links
+    assert links.part < 4
+    assert not h.courier.book.endpoints[100].c.open and not h.courier.book.endpoints[100].bad
     assert any("takes no more connections" in a.text for a in acts if hasattr(a, "text"))
 
 
@@ -104,7 +105,7 @@
     h = Host()
     h.arrive()
     h.end(1, Result.CONNECT_FAILED)
-    assert h.courier.endpoints[100].links.part == float("inf") and h.courier.endpoints[100].bad > 0
+    assert h.courier.book.endpoints[100].links.part == float("inf") and h.courier.book.endpoints[100].bad > 0
 
 
 @pytest.mark.parametrize(("idle_us", "report", "told", "cut"), [
@@ -118,11 +119,11 @@
     h = Host(report_fields=("x0", "x1"))
     busy(h, 7)
     ended(h, 2, Result.OK, 1000)
-    assert h.courier.endpoints[100].links.part == float("inf")
+    assert h.courier.book.endpoints[100].links.part == float("inf")
     for message in (3, 4):
         ended(h, message, Result.FULL, idle_us, told, report)
         ended(h, message + 3, Result.OK, 1000, report=report)
-    assert (h.courier.endpoints[100].links.part < 8) is cut
+    assert (h.courier.book.endpoints[100].links.part < 8) is cut
 
 
 def served_by_a_table_for(room):
@@ -156,7 +157,7 @@
                 refused += full and burst >= 30 * couriers
                 back += [] if full else [now + 50_000]
                 served[k] += not full and burst >= 30 * couriers
-                attempt = max(t for m, t in all_[k].calls if m == message)
+                attempt = max(t for m, t in all_[k].book.calls if m == message)
                 ends.append(AttemptEnded(message, attempt, 100, Result.FULL if full else Result.OK, 50_000,
                                          not full, 0, (), 1000 if reused else -1))
             now += 1000
@@ -197,7 +198,7 @@
 def test_nothing_is_opened_early_to_one_that_is_not_well(trouble):
     h = Host()
     h.do(WarmUp(True))
-    ep = h.courier.endpoints[100]
+    ep = h.courier.book.endpoints[100]
     assert of(OpenIdle, much(h))
     if trouble == "open":
         ep.c.open = True
@@ -215,15 +216,15 @@
 
 def test_a_connection_too_old_to_be_trusted_is_closed_before_a_call():
     h = Host()
-    h.courier.keep = 4 * S
+    h.courier.connections.keep = 4 * S
     acts = h.do(Connections(100, (h.now - 6 * S,)), MessageArrived(99, 0, 1, h.now + 5 * S))
     assert of(CloseIdle, acts)
-    assert next(iter(h.courier.calls.values()))[0].idle_us == -1
+    assert next(iter(h.courier.book.calls.values()))[0].idle_us == -1
 
 
 def test_what_was_learned_of_a_full_table_passes_over_an_upgrade():
     h, new = Host(), Host()
-    h.courier.endpoints[100].links.full(h.now, 4, 0)
+    h.courier.book.endpoints[100].links.full(h.now, 4, 0)
     (_, figures), = h.courier.carry()
     new.do(Carried(100, figures))
-    assert new.courier.endpoints[100].links.part == 2
+    assert new.courier.book.endpoints[100].links.part == 2
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -408,7 +408,7 @@
 
     def agree():
         host.turn()
-        known = host.courier.endpoints[number].links.idle
+        known = host.courier.book.endpoints[number].links.idle
         return known == [int(k.idle_at * 1e6) for k in host.pool.places[number].idle]
 
     for n in range(3):
@@ -435,7 +435,7 @@
     assert status == 200 and said["open"] == said["idle"] == 1 and said["not_shown"] == 0
     row, = said["endpoints"]
     assert row == {"endpoint": "a", "open": 1, "lent": 0, "opening": 0, "idle": 1, "opened": 1, "reused": 2,
-                   "closed": {}, "kept_at_most": fleet.host.courier.endpoints[1].links.told}
+                   "closed": {}, "kept_at_most": fleet.host.courier.book.endpoints[1].links.told}
     assert await at_door(fleet.door, "GET", "/connections/a") == (200, row)
     assert (await at_door(fleet.door, "GET", "/connections/b"))[0] == 404
     assert (await at_door(fleet.door, "POST", "/connections"))[0] == 405
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,8 @@
 from hypothesis import settings as examples
 from hypothesis import strategies as st
 
-from hopmill.brain import WINDOW_SHARE, Courier
+from hopmill.policy.courier import Courier
+from hopmill.policy.pacing import WINDOW_SHARE
 from hopmill.interface import (
     AttemptEnded, Effect, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm, MessageArrived,
     MessageClass, MessageGone, Refuse, Result, Send, SetTimer, Settings, Tenant, TimerDue)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -8,13 +8,13 @@
 from test_operator import call
 from test_upgrade import healthy, hold_socket
 
-from hopmill.brain import Courier
+from hopmill.policy.courier import Courier
 from hopmill.interface import (
     AttemptEnded, CloseIdle, Connections, Effect, EndpointsListed, EndpointState, Fail, Kind, ListEntry,
     ListForm, Log, MessageArrived, MessageClass, Refuse, Result, Send, SetByHand, Settings, SetZoneByHand,
     ZoneCarried)
 from hopmill.net.state import Journal
-from hopmill.zones import Zones
+from hopmill.policy.zones import Zones
 
 COLD = 12 * S
 
@@ -29,7 +29,7 @@
 
 def forget_idle(h):
     h.connected.idle.clear()
-    h.do(*(Connections(e, ()) for e in h.courier.endpoints))
+    h.do(*(Connections(e, ()) for e in h.courier.book.endpoints))
 
 
 def served(h, calls, **more):
@@ -107,13 +107,13 @@
     assert of(Refuse, h.idle(3.1))
     h.do(SetZoneByHand(0, False))
     got = served(h, 100)  # no other choice: a slow start, as after an outage
-    assert got and h.courier.endpoints[100].c.ramp_from >= 0
+    assert got and h.courier.book.endpoints[100].c.ramp_from >= 0
 
 
 def test_without_another_choice_the_slow_start_alone_holds_back():
     for seed in range(20):  # no chance is taken on top of it
         h = two_zones(0)
-        h.courier.random.seed(seed)
+        h.courier.turn.random.seed(seed)
         h.do(SetZoneByHand(0, True), SetZoneByHand(0, False))
         assert of(Send, h.arrive())
 
@@ -122,11 +122,11 @@
     # In a large fleet a destination's endpoints share one: the other zones are well.
     h = two_zones(couriers=100, slots=4)
     h.do(SetZoneByHand(0, True), SetZoneByHand(0, False))
-    one, other = (h.courier.endpoints[100 + n] for n in (0, 1))
+    one, other = (h.courier.book.endpoints[100 + n] for n in (0, 1))
     assert one.c is other.c and one.c.ramp_from < 0
     alone = two_zones(0, couriers=100, slots=4)
     alone.do(SetZoneByHand(0, True), SetZoneByHand(0, False))
-    assert alone.courier.endpoints[100].c.ramp_from >= 0
+    assert alone.courier.book.endpoints[100].c.ramp_from >= 0
 
 
 def test_all_zones_out_and_a_zone_that_no_list_named():
@@ -157,7 +157,7 @@
                          key_scope="zone")
     h = two_zones(classes=(keyed,))
     send, = of(Send, h.do(MessageArrived(1, 0, 1, h.now + 5 * S)))
-    zone = h.courier.endpoints[send.endpoint].zone
+    zone = h.courier.book.endpoints[send.endpoint].zone
     h.do(SetZoneByHand(zone, True))
     acts = h.end(1, Result.ERROR, after=50_000, endpoint=send.endpoint) + h.idle(5)
     assert not of(Send, acts) and len(of(Fail, acts)) == 1
@@ -187,9 +187,9 @@
         if touch:
             h.do(SetZoneByHand(5, True), SetZoneByHand(5, False))
             h.courier.zones.back.clear()
-            h.courier.random.seed(7)
+            h.courier.turn.random.seed(7)
         else:
-            h.courier.random.seed(7)
+            h.courier.turn.random.seed(7)
         return got + served(h, 100)
     assert day(False) == day(True)
 
@@ -220,7 +220,7 @@
             for a in of(Send, all_[k].handle(now, events)):
                 if a.endpoint == 100:
                     sent.append(now)
-                attempt = max(t for m, t in all_[k].calls if m == a.message)
+                attempt = max(t for m, t in all_[k].book.calls if m == a.message)
                 done = AttemptEnded(a.message, attempt, a.endpoint, Result.OK, 50_000, True)
                 calls.append((now + 50_000, k, done))
     assert not [t for t in sent if t < start]
