Record how often a module is asked for a wait between turns, so that replays draw the same

Cause: a courier without room asks the module when its client is to come again, which draws a chance outside handle(); a replay lacked it.

--- a/hopmill/lab/courier.py
+++ b/hopmill/lab/courier.py
@@ -71,7 +71,7 @@
         self.journal: dict[int, Held] = {}  # what is taken on and not ended: outlasts a kill
         self.known: dict[int, Any] = {}  # the list as it last had it
         self.told_gone: dict[int, int] = {}  # endpoints that drain or are gone: since when it knows
-        self.recorder: Callable[[int, list[Any], list[Any]], None] | None = None
+        self.recorder: Callable[[int, int, list[Any], list[Any]], None] | None = None
         self._blank()
 
     def _blank(self) -> None:
@@ -84,6 +84,7 @@
         self.waits: dict[int, int] = {}  # by lane
         self.out = 0
         self.closing = False
+        self.asked = 0  # how often the module was asked for a wait since its last turn: each draws a chance
 
     # Its life
 
@@ -175,6 +176,7 @@
         ]
         events, self.events = news + self.events, []
         arrived, self.arrived = self.arrived, {}
+        asked, self.asked = self.asked, 0
         try:
             actions = list(self.module.handle(now, events))
         except Exception as error:
@@ -184,7 +186,7 @@
                 f"last {last!r}: {error!r}"
             ) from error
         if self.recorder:
-            self.recorder(now, events, actions)
+            self.recorder(now, asked, events, actions)
         for a in actions:
             if isinstance(a, (i.Refuse, i.Fail)) and a.message in arrived:
                 m, reply = arrived.pop(a.message)
@@ -233,6 +235,7 @@
         if not self.alive or not self.listening:
             reply("gone", 0)
         elif len(self.journal) + len(self.arrived) >= self.settings.max_held:
+            self.asked += 1
             reply("refused", self.module.come_back_us())
         else:
             self.arrived[m.number] = m, reply
--- a/hopmill/lab/replay.py
+++ b/hopmill/lab/replay.py
@@ -50,12 +50,13 @@
         head = {"settings": _plain(target.settings), "seed": world.module_seed(courier, 1)}
         file.write(msgspec.json.encode(head) + b"\n")
 
-        def write(now: int, events: list[Any], actions: list[Any]) -> None:
+        def write(now: int, asked: int, events: list[Any], actions: list[Any]) -> None:
             nonlocal turns
             if target.life == 1:
                 turns += 1
                 row = {
                     "now": now,
+                    "asked": asked,
                     "events": [_plain(e) for e in events],
                     "actions": [_plain(a) for a in actions],
                 }
@@ -74,6 +75,8 @@
         courier = dialect.courier(_made(dialect, head["settings"]), head["seed"])
         for line in file:
             row = json.loads(line)
+            for _ in range(row["asked"]):
+                courier.come_back_us()
             events = [e for e in (_made(dialect, e) for e in row["events"]) if e is not None]
             actions = json.loads(msgspec.json.encode([_plain(a) for a in courier.handle(row["now"], events)]))
             yield row["now"], row["actions"], actions
