--- a/hopmill/lab/compare.py
+++ b/hopmill/lab/compare.py
@@ -48,15 +48,23 @@
 
 
 def interval(differences: np.ndarray, seed: int = 0) -> tuple[float, float]:
-    """Of the mean, by resampling the seeds (percentiles, for BCa fails where most pairs are equal)."""
-    if len(differences) < 2 or np.ptp(differences) == 0:
-        value = float(differences.mean()) if len(differences) else 0.0
+    """Of the mean, by resampling the seeds: the expanded percentile interval.
+
+    Plain percentiles of n pairs are too narrow, for resamples spread as 1/n and not 1/(n - 1), and normally and
+    not as t: with 20 pairs of equal builds they left 0 out twice as often as they should. The level is raised
+    by both (Hesterberg, "What Teachers Should Know About the Bootstrap", 2015). BCa fails where most pairs
+    are equal.
+    """
+    n = len(differences)
+    if n < 2 or np.ptp(differences) == 0:
+        value = float(differences.mean()) if n else 0.0
         return value, value
+    tail = stats.norm.cdf(-np.sqrt(n / (n - 1)) * stats.t.ppf((1 + LEVEL) / 2, n - 1))
     got = stats.bootstrap(
         (differences,),
         np.mean,
         n_resamples=RESAMPLES,
-        confidence_level=LEVEL,
+        confidence_level=1 - 2 * tail,
         method="percentile",
         rng=np.random.default_rng(seed),
     ).confidence_interval
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -127,8 +127,8 @@
     assert a == b and all(d.mean == d.low == d.high == 0 and d.sign == 0 for d in found)
     chance = np.random.default_rng(5)
     outside = [0 if low <= 0.3 <= high else 1 for low, high in (
-        cmp.interval(chance.normal(0.3, 1, 32)) for _ in range(300))]
-    assert 0.02 <= np.mean(outside) <= 0.11  # 0.05 is meant; percentiles of 32 pairs are a little narrow
+        cmp.interval(chance.normal(0.3, 1, 10)) for _ in range(400))]
+    assert 0.02 <= np.mean(outside) <= 0.08  # 0.05 is meant; plain percentiles of 10 pairs give 0.1
 
 
 def test_a_comparison_sees_a_change_and_ends_once_it_knows_enough():
