--- a/hopmill/lab/courier.py
+++ b/hopmill/lab/courier.py
@@ -339,8 +339,8 @@
         if out.done:
             return
         met = out.endpoint.connect()
-        if met == p.OK:
-            out.link = Link(out.endpoint)
+        if met in (p.OK, p.FULL):
+            out.link = Link(out.endpoint, over=met == p.FULL)
             self.clock.after(delay + self.world.handshake_us, self._up, out)
         elif met == p.CONNECT_FAILED:
             self.clock.after(delay, self._answered, out, p.CONNECT_FAILED, 0, ())
@@ -386,6 +386,7 @@
                     )
 
         out.call = p.Call(self.number, tuple(m.number for m, _ in out.items), works, answer, ran)
+        out.call.over = out.link is not None and out.link.over
         self.clock.after(self.world.delay(self, out.endpoint), self._arrives, out, life)
 
     def _arrives(self, out: Out, life: int) -> None:
@@ -415,7 +416,7 @@
         if wait:
             lane = self.world.lane(out.endpoint.number)
             self.waits[lane] = max(self.waits.get(lane, 0), self.clock.now + wait)
-        if outcome in (p.RESET, p.CONNECT_FAILED):
+        if outcome in (p.RESET, p.CONNECT_FAILED) or out.link and out.link.over:
             link, out.link = out.link, None
             self.links.close(link)
         self._finish(out, outcome, wait, report)
--- a/hopmill/lab/links.py
+++ b/hopmill/lab/links.py
@@ -18,6 +18,7 @@
     endpoint: Endpoint
     idle_at: int = 0
     open: bool = True
+    over: bool = False  # the endpoint has no place for it: one call is turned away on it, and it closes
 
 
 class Links:
--- a/hopmill/lab/losses.py
+++ b/hopmill/lab/losses.py
@@ -36,6 +36,7 @@
     asked = sum(o.worth for o in world.clients.origins) or 1.0
     by_cause: dict[str, float] = defaultdict(float)
     seconds = int(world.scenario.seconds) + 1
+    over_time: dict[str, list[float]] = defaultdict(lambda: [0.0] * seconds)
     rows = [[0.0] * seconds for _ in world.couriers]
     latencies = []
     for o in world.clients.origins:
@@ -43,10 +44,13 @@
         if o.delivered_at >= 0:
             latencies.append(o.delivered_at - o.born)
         if share < 1:
-            by_cause[cause(world, o)] += o.worth * (1 - share) / asked
+            name, lost = cause(world, o), o.worth * (1 - share) / asked
+            by_cause[name] += lost
+            over_time[name][min(seconds - 1, o.born // 1_000_000)] += lost
             rows[o.courier][min(seconds - 1, o.born // 1_000_000)] += o.worth * (1 - share)
     return {
         "lost_by_cause": {k: round(v, 6) for k, v in sorted(by_cause.items())},
+        "lost_over_time": {k: [round(v, 7) for v in row] for k, row in sorted(over_time.items())},
         "lost_by_courier": [[round(v, 3) for v in row] for row in rows],
         "latencies_us": latencies,
     }
--- a/hopmill/lab/partners.py
+++ b/hopmill/lab/partners.py
@@ -27,6 +27,7 @@
     answer: Callable[[str, int, tuple[float, ...]], None]  # outcome, told wait in us, report
     ran: Callable[[], None]  # the work took effect
     gone: bool = False  # the courier no longer waits: what has begun runs on
+    over: bool = False  # its connection is one that the endpoint's table has no place for
 
 
 @dataclass
@@ -198,8 +199,8 @@
             return CONNECT_FAILED
         if outage == "silent":
             return SILENT
-        self.open += 1  # one over the table is told with the first answer on it
-        return OK
+        self.open += 1
+        return FULL if self.open > self.table else OK  # it stands, and its first call is turned away
 
     def disconnect(self) -> None:
         self.open -= 1
@@ -223,7 +224,7 @@
             self._refuse(call, told)
         elif outage == "errors" and self.chance.uniform() < target.size:
             self._after(QUICK_US, call, ERROR)
-        elif self.open > self.table:
+        elif call.over:
             self._refuse(call, 0)
         elif (wait := target.limit.take(now)) > 0:
             self._refuse(call, wait if self.chance.uniform() < target.kind.tells_wait else 0)
--- a/hopmill/lab/report.py
+++ b/hopmill/lab/report.py
@@ -106,6 +106,20 @@
     return "<h2>Worth not served, by cause</h2>" + _table(["cause", "share of all worth"], cells)
 
 
+def causes_over_time(rows: list[dict[str, Any]], most: int = 3) -> Any:
+    """A figure of the largest causes by the second of handing in, in the mean of the plays."""
+    total: dict[str, np.ndarray] = {}
+    for row in rows:
+        for name, values in row["lost_over_time"].items():
+            total[name] = total.get(name, 0) + np.array(values) / len(rows)
+    figure, axis = plt.subplots(figsize=(9, 3))
+    for name, values in sorted(total.items(), key=lambda item: -item[1].sum())[:most]:
+        axis.plot(values, linewidth=1.2, label=f"{name} ({values.sum():.3f})")
+    axis.set(xlabel="second handed in", ylabel="share of all worth, a second")
+    axis.legend(fontsize=8)
+    return figure
+
+
 def differences(found: Sequence[Difference]) -> str:
     cells = [
         [d.part, d.seeds, f"{d.a:.4f}", f"{d.b:.4f}", f"{d.mean:+.4f}", f"{d.low:+.4f} to {d.high:+.4f}"]
@@ -131,7 +145,8 @@
         for r in rows
     ]
     body = _table(["seed", "G", "served", "worst window", "refused calls", "connections", "broken"], cells)
-    body += (differences(found) if found else "") + worth_by_second(rows) + causes(rows) + latency(rows)
+    body += (differences(found) if found else "") + worth_by_second(rows) + causes(rows)
+    body += _image(causes_over_time(rows), "The largest causes over time") + latency(rows)
     for row in rows[:2]:
         body += calls_by_lane(row) + heat(row)
     return PAGE.format(title=html.escape(title), body=body)
--- a/tests/test_face.py
+++ b/tests/test_face.py
@@ -225,7 +225,8 @@
 
 
 @pytest.mark.parametrize(("cut", "more", "status", "tail"), [
-    (0, b"", 0, 0), (3, b"", 0, 14), (0, WHOLE[:-2], 0, len(WHOLE) - 2),  # a record is being written
+    (0, b"", 0, 0), (3, b"", 0, 14), (0, WHOLE[:-2], 0, len(WHOLE) - 2), (0, WHOLE[:3], 0, 3),
+    # a record is being written, above; below it is
     (0, WHOLE[:-1] + b"\0" + WHOLE, 1, 2 * len(WHOLE)),  # damaged in the middle
     (0, state.frame(["later", 1]), 1, 0)])  # of a version that is not known
 def test_a_folder_is_shown_as_it_is(tmp_path, capsys, cut, more, status, tail):
@@ -267,7 +268,8 @@
 def running_demo(tmp_path, *args):
     return subprocess.Popen(
         [sys.executable, "-m", "hopmill", "demo", "--json", *args], cwd=ROOT, text=True,
-        env={**os.environ, "TMPDIR": str(tmp_path)}, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        env={**os.environ, "TMPDIR": str(tmp_path)}, start_new_session=True,
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE)
 
 
 def couriers_of(tmp_path):
@@ -293,8 +295,10 @@
     process = running_demo(tmp_path, "--seconds", "30")
     wait_for(lambda: len(couriers_of(tmp_path)) == 2)
     time.sleep(0.5)
-    process.send_signal(how)
-    assert process.wait(10) == 130
+    # Ctrl-C reaches the whole group; the couriers' end is the demo's affair, and no journal's cut is left.
+    os.killpg(process.pid, how)
+    said = process.communicate(timeout=10)[1]
+    assert process.returncode == 130 and "ended early" in said and "Traceback" not in said
     assert not couriers_of(tmp_path) and not os.listdir(tmp_path)
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -100,9 +100,9 @@
     clock.at(5, said.append, "a")
     clock.at(5, lambda: (said.append("b"), clock.after(0, said.append, "d")))
     clock.at(5, said.append, "c")
-    clock.at(2, clock.at, 1, said.append, "not before now")
+    clock.at(2, clock.at, 1, lambda: said.append(clock.now))
     clock.run(10)
-    assert said == ["not before now", "a", "b", "c", "d"] and clock.now == 10
+    assert said == [2, "a", "b", "c", "d"] and clock.now == 10
 
 
 def test_the_same_seed_gives_the_same_line_in_any_process():
@@ -138,6 +138,22 @@
     assert found[0].a != found[0].b
 
 
+def test_a_full_table_turns_away_on_new_connections_alone():
+    clock = Clock()
+    place = endpoint(clock, Kind(name="k", errors=0.0), 50, 50)
+    place.table, said = 2, []
+    met = [place.connect() for _ in range(3)]
+    for result in met:
+        call = partners.Call(0, (0,), (1000.0,), lambda *told: said.append(told[0]), lambda: None)
+        call.over = result == partners.FULL
+        place.arrives(call)
+    clock.run(10**6)
+    assert met == [partners.OK, partners.OK, partners.FULL] and sorted(said) == ["full", "ok", "ok"]
+    place.disconnect()
+    place.disconnect()
+    assert place.connect() == partners.OK
+
+
 # Rules and hard cases
 
 class Altered:
@@ -335,7 +351,7 @@
     from hopmill.lab.report import page
     rows = [play.play(small("zone", 4), seed, more=True) for seed in (1, 2)]
     text = page("zone <small>", rows, [cmp.difference("g", rows, rows)])
-    assert text.count("data:image/png;base64,") == 5 and "http" not in text and "zone &lt;small&gt;" in text
+    assert text.count("data:image/png;base64,") == 6 and "http" not in text and "zone &lt;small&gt;" in text
     assert sum(rows[0]["lost_by_cause"].values()) == pytest.approx(1 - rows[0]["served"], abs=1e-4)
 
 
