--- a/hopmill/lab/clients.py
+++ b/hopmill/lab/clients.py
@@ -10,7 +10,7 @@
 import numpy as np
 
 from hopmill.lab.chance import Pool, lognormal, stream, zipf_weights
-from hopmill.lab.courier import Held
+from hopmill.lab.calls import Held
 
 if TYPE_CHECKING:
     from hopmill.lab.world import World
@@ -145,6 +145,7 @@
             origin.works,
             resubmitted,
         )
+        m.given_up = origin.tries == 0 and origin.habits[3] < s.clients.gives_up
         origin.tries, origin.courier = origin.tries + 1, courier.number
         courier.put(m, lambda end, wait: self._answered(m, origin, end, wait))
 
--- a/hopmill/lab/result.py
+++ b/hopmill/lab/result.py
@@ -50,6 +50,10 @@
     window = int(min(s.goal.window_ms, s.seconds * 1e3) * 1e3)
     worst, worst_at = _worst_window(world, window)
     refused = sum(sum(t.refused.values()) for p in world.partners for t in p.targets)
+    reasons: Counter[str] = Counter()
+    for partner in world.partners:
+        for target in partner.targets:
+            reasons.update(target.why)
     endpoints = world.endpoints.values()
     asked_work = sum(o.works[0] for o in origins) or 1.0
     late_fail = sum(o.worth for o in origins if o.delivered_at < 0) / max(1e-9, sum(o.worth for o in origins))
@@ -93,6 +97,7 @@
         "connections": counts["connections"],
         "fell": counts["fell"],
         "refused_calls": refused,
+        "refused_by_partners": dict(sorted(reasons.items())),
         "held_mean": round(world.held_us / max(1, world.clock.now), 6),
         "held_by_stays": round(world.stayed_us / max(1, world.clock.now), 6),
         "unknown": sorted(world.dialect.unknown),
--- a/hopmill/lab/troubles.py
+++ b/hopmill/lab/troubles.py
@@ -89,7 +89,7 @@
         for endpoint in self.world.endpoints.values():
             if endpoint.target is target:
                 for courier in self.world.couriers:
-                    courier.reset_by(endpoint)
+                    courier.calls.reset_by(endpoint)
 
     def _zone_cut(self, t: Trouble, chance: Any, start: int) -> None:
         zone = int(chance.integers(self.world.scenario.net.zones))
@@ -102,7 +102,7 @@
             endpoint.cut = on
             if not on:
                 for courier in self.world.couriers:
-                    courier.reset_by(endpoint)
+                    courier.calls.reset_by(endpoint)
 
     # The list
 
@@ -139,7 +139,7 @@
     def _leave(self, endpoint: p.Endpoint) -> None:
         endpoint.state = "gone"
         for courier in self.world.couriers:
-            courier.reset_by(endpoint)
+            courier.calls.reset_by(endpoint)
         self.tell([endpoint.number])
 
     def tell(self, numbers: list[int]) -> None:
