--- a/hopmill/lab/scenario.py
+++ b/hopmill/lab/scenario.py
@@ -136,23 +136,6 @@
     late_fail: NotNegative = 0.03
 
 
-TROUBLES = (
-    "down",
-    "silent",
-    "hung",
-    "errors",
-    "shut",
-    "slow",
-    "limit",
-    "zone_cut",
-    "kill",
-    "restart",
-    "join",
-    "deploy",
-    "discovery_silent",
-)
-
-
 class Trouble(Strict, kw_only=True):
     kind: Literal[
         "down",
