--- a/hopmill/cli/lab.py
+++ b/hopmill/cli/lab.py
@@ -12,7 +12,7 @@
 from hopmill.cli.app import JsonOption, fail
 
 lab = typer.Typer(
-    help="The laboratory: a fleet in virtual time. Installed with hopmill[lab].", no_args_is_help=True
+    help="The laboratory: a fleet in virtual time. Installed with the extra `lab`.", no_args_is_help=True
 )
 Couriers = Annotated[int, typer.Option(min=0, help="Scales fleet and traffic; 0: as the scenario says.")]
 Seeds = Annotated[str, typer.Option(help="As 1-20 or 3,5,9.")]
