--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -287,13 +287,18 @@
         load("clam")
 
 
-def test_a_module_that_throws_names_seed_courier_and_event():
+def test_a_module_that_throws_names_seed_courier_and_event(monkeypatch):
     def throws(inner, now, events, actions):
         if now > 900_000 and any(isinstance(e, i.MessageArrived) for e in events):
             raise ZeroDivisionError("in a decision")
         return actions
     with pytest.raises(ModuleFailed, match=r"courier \d+ at [01]\.\d+ s, on \d+ events, the last \w+\("):
         play_altered(throws, small())
+    dialect = Dialect()
+    dialect.courier = Altered(throws)
+    monkeypatch.setattr(play, "Dialect", lambda: dialect)
+    told = play.play(small(), 7)
+    assert told["broken"] == "module failed" and told["text"].startswith("seed 7: courier ") and told["g"] == 0
 
 
 def test_a_revision_that_does_not_know_an_event_is_played_without_it(monkeypatch):
