--- a/hopmill/cli/app.py
+++ b/hopmill/cli/app.py
@@ -21,7 +21,7 @@
            "lanes": ("GET", "/lanes"), "zones": ("GET", "/zones"), "connections": ("GET", "/connections"),
            "out": ("POST", "/endpoints/{}/maint"), "back": ("POST", "/endpoints/{}/ready"),
            "zone-out": ("POST", "/zones/{}/maint"), "zone-back": ("POST", "/zones/{}/ready")}
-FAST = ("serve", "check", "schema", "demo", "ctl", "top", "journal", "--version")  # need no look for the lab
+FAST = ("serve", "check", "schema", "demo", "ctl", "top", "journal", "fleet", "trial", "--version")
 JsonOption = Annotated[bool, typer.Option("--json", help="Machine-readable.")]
 
 
@@ -124,6 +124,17 @@
     raise typer.Exit(run(addresses, every, times))
 
 
+@app.command(epilog="Example: hopmill trial storm --seed 1-5")
+def trial(scenario: Annotated[str, typer.Argument(help="One that comes along, by name, or a TOML file.")],
+          couriers: Annotated[int, typer.Option(min=0, max=200, help="0: drawn by the seed.")] = 0,
+          seed: Annotated[str, typer.Option(help="As 1-20 or 3,5,9.")] = "1",
+          history: Annotated[Path | None, typer.Option(help="Folder for histories and logs.")] = None,
+          as_json: JsonOption = True) -> None:
+    """Many couriers as processes, a load, and faults between them; a line a seed. A violation: exit 1."""
+    from hopmill.cli.trial import trial as run
+    raise typer.Exit(run(scenario, couriers, seed, history))
+
+
 @journal_app.command("show", epilog="Example: hopmill journal show /var/lib/hopmill")
 def journal_show(folder: Path, as_json: JsonOption = False) -> None:
     """The messages that are held, the notices owed, and what staff have left out."""
@@ -162,9 +173,15 @@
         app.command("load", epilog="Example: hopmill load 127.0.0.1:6379 --rate 500 --seconds 5")(load)
 
 
+def _add_fleet() -> None:
+    from hopmill.cli.fleet import fleet
+    app.add_typer(fleet, name="fleet")
+
+
 def main() -> int:
-    if sys.argv[1:2] and sys.argv[1] not in FAST:
+    if sys.argv[1:2] and sys.argv[1] not in FAST:  # the others need no look for the laboratory
         _add_lab()
+    _add_fleet()
     try:
         app(prog_name="hopmill")
     except SystemExit as end:
--- a/hopmill/cli/lab.py
+++ b/hopmill/cli/lab.py
@@ -10,6 +10,7 @@
 import typer
 
 from hopmill.cli.app import JsonOption, fail
+from hopmill.cli.seeds import seeds_of
 
 lab = typer.Typer(
     help="The laboratory: a fleet in virtual time. Installed with the extra `lab`.", no_args_is_help=True
@@ -19,17 +20,6 @@
 Cores = Annotated[int, typer.Option(min=0, help="0: all.")]
 
 
-def seeds_of(text: str) -> list[int]:
-    try:
-        rows = []
-        for word in text.split(","):
-            first, dash, last = word.partition("-")
-            rows += range(int(first), int(last) + 1) if dash else [int(first)]
-        return rows
-    except ValueError:
-        raise fail(f"--seeds: must be as 1-20 or 3,5,9, not {text}") from None
-
-
 def _changes(given: list[str]) -> dict[str, Any]:
     rows = {}
     for word in given:
--- a/hopmill/document.py
+++ b/hopmill/document.py
@@ -16,27 +16,17 @@
 
 from hopmill import interface as i
 from hopmill import wire
+from hopmill.fields import ConfigError, Count, Name, NotNegative, PartnerNumber, Positive, Share, Strict
+from hopmill.fleet.settings import Members
+from hopmill.fleet.settings import problems as members_problems
 from hopmill.logs import FORMATS, LEVELS, PARTS
 
 FORMAT = 1
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-NotNegative = Annotated[float, msgspec.Meta(ge=0)]
-Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Count = Annotated[int, msgspec.Meta(ge=1)]
-Name = Annotated[str, msgspec.Meta(max_length=256)]
-PartnerNumber = Annotated[int, msgspec.Meta(ge=0, le=0xFFFF)]
+FROM_THE_FILE = ("name", "listen", "discovery", "operator", "seed", "limits", "log", "connections", "members")
 Level = Literal["debug", "info", "warning", "error"]
 assert set(Level.__args__) == set(LEVELS) and FORMATS == ("line", "json")  # one list of each
 
 
-class ConfigError(Exception):
-    """A value that lacks or is wrong; the text is one line that names its field."""
-
-
-class Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
-    """A table: a name that it does not know is a mistake."""
-
-
 class Limits(Strict):
     """What the machine gives this courier."""
 
@@ -171,6 +161,7 @@
     report_fields: tuple[str, ...] = ()
     rates_listed: bool = False
     partners: tuple[Partner, ...] = ()
+    members: Members | None = None  # the fleet that this courier agrees with; none: it shares nothing
 
     def settings(self) -> i.Settings:
         """For the decision module, in its units."""
@@ -276,6 +267,8 @@
             if e.uid in uids:
                 yield f"partners[{at}].endpoints[{n}].uid: {e.uid!r} is there twice"
             uids.add(e.uid)
+    if document.members:
+        yield from members_problems(document.members)
     for name in document.log.levels:
         if name not in PARTS:
             yield f"log.levels.{name}: no such part; there are {', '.join(PARTS)}"
@@ -299,13 +292,16 @@
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
     tree = from_settings(settings, given.get("localities") or ())
-    for name in ("name", "listen", "discovery", "operator", "seed", "limits", "log", "connections"):
+    for name in FROM_THE_FILE:
         if raw.get(name) is not None:
             tree[name] = raw[name]
     if isinstance(tree.get("limits"), dict):  # the platform may tell more of them than there are here
         known = {f.name for f in msgspec.structs.fields(Limits)}
         tree["limits"] = {k: v for k, v in tree["limits"].items() if k in known}
-    return convert(tree), settings
+    document = convert(tree)
+    for problem in members_problems(document.members) if document.members else ():
+        raise ConfigError(problem)
+    return document, settings
 
 
 def from_settings(s: i.Settings, zones: Any = ()) -> dict[str, Any]:
@@ -369,5 +365,6 @@
             ("connections.warm_up", not document.connections.warm_up, "no connection is opened early"),
             ("retries.longest_told_wait_ms", not document.retries.longest_told_wait_ms,
              "clients are not told when to come again"),
+            ("members", document.members is None, "nothing is shared with other couriers"),
             ("retries.second_copies", not document.retries.second_copies, "one attempt at a time"))
     return [f"{path}: {what}" for path, is_off, what in rows if is_off]
--- /dev/null
+++ b/hopmill/fleet/document.py
@@ -0,0 +1,59 @@
+"""The register's document: small, versioned, changed as a whole by one proposer after the other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+MOST_BYTES = 900  # of it, encoded: an Accept with it has to fit a datagram
+RECENT = 8  # tickets of the last changes, so that one whose answer was lost is not done twice
+
+
+class Lease(msgspec.Struct, frozen=True, array_like=True):
+    """Who may act under this name. `fence` only grows; `renewal` counts what the owner has asked since."""
+
+    owner: str = ""
+    fence: int = 0
+    renewal: int = 0
+    length_us: int = 0
+
+
+class Document(msgspec.Struct, frozen=True, array_like=True):
+    """version: of the last change. former: while voters change, the set before; both have to agree then."""
+
+    version: int
+    voters: tuple[str, ...]
+    former: tuple[str, ...] = ()
+    words: dict[str, str] = {}  # told by staff
+    leases: dict[str, Lease] = {}
+    recent: tuple[str, ...] = ()  # tickets
+
+    def next(self, ticket: str, **changes: object) -> Document:
+        recent = (*self.recent, ticket)[-RECENT:]
+        return msgspec.structs.replace(self, version=self.version + 1, recent=recent, **changes)
+
+    def agrees(self, voters: Iterable[str]) -> bool:
+        """Whether these are a majority of its voters, and of those before while they change."""
+        there = set(voters)
+        sets = [self.voters, self.former] if self.former else [self.voters]
+        return all(2 * len(there.intersection(each)) > len(each) for each in sets)
+
+    @property
+    def everyone(self) -> set[str]:
+        return {*self.voters, *self.former}
+
+
+class TooLarge(ValueError):
+    """The changed document would not fit a datagram."""
+
+
+_decoder = msgspec.msgpack.Decoder(Document)
+decode = _decoder.decode
+
+
+def encode(document: Document) -> bytes:
+    data = msgspec.msgpack.encode(document)
+    if len(data) > MOST_BYTES:
+        raise TooLarge(f"the document would take {len(data)} of {MOST_BYTES} bytes")
+    return data
--- /dev/null
+++ b/hopmill/fleet/mutants.py
@@ -0,0 +1,117 @@
+"""Each safety guard of register and lease taken away, one at a time: the explorer has to find every one."""
+
+from __future__ import annotations
+
+from hopmill.fleet.actions import Send
+from hopmill.fleet.document import Document, Lease
+from hopmill.fleet.lease import Keeper
+from hopmill.fleet.proposer import Proposer, Try
+from hopmill.fleet.register import Register
+from hopmill.fleet.voter import Voter
+from hopmill.fleet.wire import Ballot, Known
+
+
+class PromisesAnything(Voter):
+    def may_promise(self, ballot: Ballot) -> bool:
+        return True
+
+
+class AcceptsAnything(Voter):
+    def may_accept(self, ballot: Ballot) -> bool:
+        return True
+
+
+class AnswersBeforeTheDisk(Voter):
+    def persist(self, *then: Send) -> None:
+        self.out += then
+        super().persist()
+
+
+class TrustsACopy(Voter):
+    def trusts(self, same_folder: bool) -> bool:
+        return True
+
+
+class LetInByAnyone(Voter):
+    def majority_of_others(self, answers: dict[str, Known]) -> bool:
+        return bool(answers)
+
+
+class VotesAtOnce(Voter):
+    def let_in(self, answers: dict[str, Known]) -> bool:
+        return True
+
+
+class OldPromisesStand(Voter):
+    def stands(self, basis: tuple[tuple[str, int], ...]) -> bool:
+        return True
+
+
+class OneVoteIsEnough(Proposer):
+    def enough(self, at: Try) -> bool:
+        return bool(at.accepted)
+
+
+class AnyValueWillDo(Proposer):
+    def newest(self, at: Try) -> Document:
+        return self._read(min(at.promises.values(), key=lambda p: p.accepted))
+
+
+class OnlyTheNewVoters(Proposer):
+    def enough(self, at: Try) -> bool:
+        assert at.next is not None
+        return 2 * len(at.accepted & set(at.next.voters)) > len(at.next.voters)
+
+
+class ForgetsItsTicket(Proposer):
+    def own(self, ticket: str, base: Document) -> bool:
+        return False
+
+
+class CountsFromTheAnswer(Keeper):
+    def counts_from(self, asked_at: int, now: int) -> int:
+        return now
+
+
+class WaitsNoLonger(Keeper):
+    def waits_us(self) -> int:
+        return int(self.seen.length_us * (1 - self.drift))
+
+
+class SameFence(Keeper):
+    def next_fence(self, seen: Lease) -> int:
+        return max(1, seen.fence)
+
+
+class TakesBlindly(Keeper):
+    def unchanged(self) -> bool:
+        return False
+
+
+class ActsAfterGiving(Keeper):
+    def lets_go(self) -> None:
+        pass
+
+
+class KeepsForEver(Keeper):
+    def held(self, now: int) -> int:
+        return self.fence
+
+
+PLANTED = {
+    "promises-anything": PromisesAnything, "accepts-anything": AcceptsAnything,
+    "answers-before-the-disk": AnswersBeforeTheDisk, "trusts-a-copy": TrustsACopy,
+    "let-in-by-anyone": LetInByAnyone, "votes-at-once": VotesAtOnce, "old-promises-stand": OldPromisesStand,
+    "one-vote-is-enough": OneVoteIsEnough, "any-value-will-do": AnyValueWillDo,
+    "only-the-new-voters": OnlyTheNewVoters, "forgets-its-ticket": ForgetsItsTicket,
+    "counts-from-the-answer": CountsFromTheAnswer, "waits-no-longer": WaitsNoLonger, "same-fence": SameFence,
+    "takes-blindly": TakesBlindly, "acts-after-giving": ActsAfterGiving, "keeps-for-ever": KeepsForEver,
+}
+
+
+def planted(name: str) -> type[Register]:
+    """A register with the fault of this name. KeyError if there is none."""
+    fault = PLANTED[name]
+    kind = next(k for k in ("voter", "proposer", "keeper") if issubclass(
+        fault, {"voter": Voter, "proposer": Proposer, "keeper": Keeper}[k]))
+    return type(fault.__name__, (Register,), {f"{kind}_type": fault})
--- /dev/null
+++ b/hopmill/fleet/node.py
@@ -0,0 +1,243 @@
+"""A member of the fleet: who is there, the register and its leases, behind one clock and one way in and out.
+
+Whoever runs it (a process, the laboratory, a test) gives it datagrams and time and carries its actions out.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from hopmill.fleet import document as doc
+from hopmill.fleet import wire
+from hopmill.fleet.actions import Persist, Send
+from hopmill.fleet.document import Document
+from hopmill.fleet.proposer import Outcome
+from hopmill.fleet.register import Register
+from hopmill.fleet.settings import Members
+from hopmill.fleet.swim import STATES, Changed, Swim
+from hopmill.fleet.voter import Memory
+from hopmill.fleet.wire import Ack, Ping, PingFor, Unheard
+
+BLOCK = 1000  # incarnations that are put on disk at a time, before the first of them is used
+LARGEST = 1 << 48  # an incarnation past it is nobody's
+
+
+class Stored(msgspec.Struct):
+    """All that a member keeps on disk."""
+
+    ceiling: int = 0  # no incarnation above it was ever used
+    memory: Memory = msgspec.field(default_factory=Memory)
+
+
+@dataclass(frozen=True)
+class Datagram:
+    address: str
+    data: bytes
+
+
+@dataclass(frozen=True)
+class Write:
+    """Put these bytes on disk (fsync), in this order; then tell the node whether they are there."""
+
+    state: bytes
+    ceiling: int
+    then: tuple[Send, ...] = ()
+
+
+@dataclass
+class Counts:
+    """Since the start."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    dropped: Counter[str] = field(default_factory=Counter)
+
+
+class Node:
+    """Times are us of this member's elapsed clock. After each call, `take` gives what is to be done."""
+
+    def __init__(self, members: Members, stored: Stored, same_folder: bool, seed: int,
+                 carried: dict[str, Any] | None = None) -> None:
+        """same_folder: it is where it was stored, no copy. carried: by the process before, in an upgrade."""
+        self.s, self.chance = members, random.Random(seed)
+        self.ceiling = stored.ceiling
+        life = carried["incarnation"] if carried else stored.ceiling + 1
+        self.wanted = max(life, self.ceiling if carried else 0)  # the ceiling asked for
+        self.counts = Counts()
+        self.swim = Swim(members, life, self.chance, self._next_incarnation)
+        initial = Document(0, members.voters)
+        born = carried["born"] if carried else life
+        self.register = Register(members.id, born, initial, stored.memory, same_folder, self.chance)
+        for name in members.leases:
+            self.register.keep(name, int(members.lease_ms * 1e3), members.drift)
+        self.born = born
+        self.started, self.due = False, 0
+        self.writes: list[Write] = []
+        self.ready: list[Datagram] = []
+        self.own: list[Send] = []
+        if carried:
+            self._resume(carried)
+        else:
+            self._reserve(life)
+
+    # Upgrades
+
+    def carry(self) -> dict[str, Any]:
+        """For the next process on this machine; this one must not speak any more."""
+        r = self.register
+        return {"born": self.born, "incarnation": self.swim.me.incarnation, "ceiling": self.ceiling,
+                "round": r.proposer.round, "counted": r.counted, "document": doc.encode(r.document),
+                "state": self._state(self.ceiling), "voting": r.voter.voting,
+                "leases": {name: k.carry() for name, k in r.keepers.items()}}
+
+    def _resume(self, carried: dict[str, Any]) -> None:
+        r = self.register
+        r.proposer.round, r.counted = carried["round"], carried["counted"] + 1
+        r.proposer.learn(doc.decode(carried["document"]))
+        r.voter.voting = carried["voting"]
+        for name, values in carried["leases"].items():
+            if name in r.keepers:
+                r.keepers[name].resume(values)
+
+    # Incarnations
+
+    def _reserve(self, incarnation: int) -> None:
+        """On disk before the first of them is used."""
+        self.wanted = incarnation + BLOCK
+        self.writes.append(Write(self._state(self.wanted), self.wanted))
+
+    def _next_incarnation(self, after: int) -> int:
+        following = max(self.swim.me.incarnation, after) + 1
+        if following > LARGEST:
+            return 0
+        if following <= self.ceiling:
+            return following
+        if following > self.wanted:
+            self._reserve(following)
+        return 0
+
+    def _state(self, ceiling: int) -> bytes:
+        return msgspec.msgpack.encode(Stored(ceiling, self.register.voter.memory))
+
+    def written(self, write: Write, ok: bool, now: int) -> None:
+        """The disk has done it, or said no: then what waits for it is not sent, as if it had been lost."""
+        if not ok:
+            self.wanted = self.ceiling
+            return
+        self.ceiling = max(self.ceiling, write.ceiling)
+        for send in write.then:
+            self._send(send)
+        if not self.started and self.swim.me.incarnation <= self.ceiling:
+            self.started = True
+            self.swim.start(now)
+
+    # In and out
+
+    def datagram(self, data: bytes, now: int) -> None:
+        self.counts.received += 1
+        try:
+            frame, body, news = wire.read(data, self.s.fleet)
+            if frame.incarnation > LARGEST or any(n.incarnation > LARGEST for n in news):
+                raise wire.Unreadable("incarnation")
+        except wire.Unreadable as error:
+            self.counts.dropped[str(error)] += 1
+            return
+        if not self.started:
+            return
+        self._catch_up(now)
+        if frame.sender != self.s.id and not self.swim.heard(frame.sender, frame.incarnation, news, now):
+            return
+        if isinstance(body, (Ping, Ack, PingFor, Unheard)):
+            self.swim.receive(frame.sender, body, now)
+        else:
+            self.register.receive(frame.sender, body, now)
+        self.register.newer(frame.sender, frame.version)
+
+    def _catch_up(self, now: int) -> None:
+        """This process stood still: what was silent meanwhile was not heard, so nobody is blamed for it."""
+        late = now - self.due
+        if self.due and late > self.swim.period:
+            self.swim.stood_still(late)
+            self.due = now
+
+    def tick(self, now: int) -> int:
+        """Everything that time brings. Returns when to be called again."""
+        if not self.started:
+            if not self.writes and self.wanted <= self.ceiling:
+                self._reserve(self.swim.me.incarnation)  # the disk said no: once more
+            self.due = 0
+            return now + 1_000_000
+        self._catch_up(now)
+        self.due = min(self.swim.tick(now), self.register.tick(now))
+        return self.due
+
+    def take(self, now: int) -> list[Datagram | Write]:
+        """What is to be done, in order."""
+        while actions := [*self.own, *self.register.take(now), *self.swim.out]:
+            self.own, self.swim.out = [], []
+            for action in actions:
+                if isinstance(action, Persist):
+                    self.writes.append(Write(self._state(self.wanted), self.wanted, action.then))
+                elif action.to == self.s.id:  # what is meant for this member itself is heard at once
+                    self.register.receive(self.s.id, action.body, now)
+                else:
+                    self._send(action)
+        out, self.ready, self.writes = [*self.writes, *self.ready], [], []
+        return out
+
+    def _send(self, send: Send) -> None:
+        if send.to == self.s.id:
+            self.own.append(send)
+            return
+        address = self.swim.address(send.to)
+        if not address:
+            self.counts.dropped["no address"] += 1
+            return
+        data = wire.write(self.s.fleet, self.s.id, self.swim.me.incarnation, self.register.document.version,
+                          send.body, self.swim.news_for(send.to))
+        self.counts.sent += 1
+        self.counts.sent_bytes += len(data)
+        self.ready.append(Datagram(address, data))
+
+    # What staff and logs are told
+
+    def changed(self) -> list[Changed]:
+        """Members whose state has changed since the last call."""
+        changed, self.swim.changed = self.swim.changed, []
+        return changed
+
+    def propose(self, change: Callable[[str, Document], Document | None], now: int,
+                then: Callable[[Outcome], None]) -> str:
+        return self.register.propose(change, now, then)
+
+    def held(self, lease: str, now: int) -> int:
+        """The fencing number to act under, 0 if it may not act. To be asked in the turn that acts."""
+        keeper = self.register.keepers.get(lease)
+        return keeper.held(now) if keeper else 0
+
+    def status(self, now: int) -> dict[str, Any]:
+        """Ages are in ms."""
+        me, r = self.swim.me, self.register
+        peers = sorted(self.swim.peers.values(), key=lambda p: p.id)
+        rows = [{"id": me.id, "state": STATES[me.state], "zone": me.zone, "region": me.region,
+                 "incarnation": me.incarnation, "age_ms": 0, "self": True}]
+        rows += [{"id": p.id, "state": STATES[p.state] if p.incarnation > 0 else "unheard", "zone": p.zone,
+                  "region": p.region, "incarnation": p.incarnation,
+                  "age_ms": (now - p.heard_at) // 1000 if p.heard_at else None, "self": False}
+                 for p in peers]
+        d = r.document
+        return {"fleet": self.s.fleet, "id": me.id, "life": self.born, "started": self.started,
+                "members": rows, "health": self.swim.health, "version": d.version, "voters": list(d.voters),
+                "former": list(d.former), "votes": r.voter.voting, "words": d.words,
+                "leases": [{"name": name, "owner": lease.owner, "fence": lease.fence,
+                            "mine": bool(self.held(name, now))} for name, lease in sorted(d.leases.items())],
+                "datagrams": {"sent": self.counts.sent, "sent_bytes": self.counts.sent_bytes,
+                              "received": self.counts.received,
+                              "dropped": dict(self.counts.dropped + self.swim.dropped)}}
--- /dev/null
+++ b/hopmill/fleet/register.py
@@ -0,0 +1,157 @@
+"""The register at one member: its voter, its proposer, the leases that it keeps, and the newest document."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from hopmill.fleet import document as doc
+from hopmill.fleet.actions import Action, Send
+from hopmill.fleet.document import Document
+from hopmill.fleet.lease import Keeper
+from hopmill.fleet.proposer import Change, Outcome, Proposer
+from hopmill.fleet.voter import Memory, Voter
+from hopmill.fleet.wire import (Accept, Accepted, Ask, Body, Chosen, Fetch, Known, Prepare, Promise,
+                                Refused)
+
+SETTLE_US = (500_000, 2_000_000)  # after the first step of replacing a voter
+FETCH_US = 100_000  # between two askings for a newer document
+DONE_WITHIN_US = 10_000_000
+
+
+class Register:
+    """Times are us of this member's elapsed clock. After each call, `take` gives what is to be done."""
+
+    voter_type, proposer_type, keeper_type = Voter, Proposer, Keeper
+
+    def __init__(self, me: str, life: int, initial: Document, memory: Memory, same_folder: bool,
+                 chance: random.Random) -> None:
+        """life: of this member, never used before. memory, same_folder: what its voter finds on disk."""
+        self.me, self.name = me, f"{me}#{life}"
+        self.voter = self.voter_type(me, initial, memory, same_folder)
+        self.proposer = self.proposer_type(self.name, initial, chance)
+        self.keepers: dict[str, Keeper] = {}
+        self.heard: dict[str, int] = {}  # versions that others know, while they are newer
+        self.fetched_at = -FETCH_US
+        self.tickets: dict[str, Callable[[Outcome], None]] = {}
+        self.counted = self.settle_at = 0
+
+    @property
+    def document(self) -> Document:
+        """The newest that is known to be chosen."""
+        return self.proposer.known
+
+    def keep(self, name: str, length_us: int, drift: float) -> Keeper:
+        """Try to hold a lease from now on."""
+        return self.keepers.setdefault(name, self.keeper_type(name, self.name, length_us, drift))
+
+    def propose(self, change: Callable[[str, Document], Document | None], now: int,
+                then: Callable[[Outcome], None] = lambda outcome: None, within: int = DONE_WITHIN_US) -> str:
+        """change: given its ticket and the document, the next one or None. Returns the ticket."""
+        self.counted += 1
+        ticket = f"{self.name}/{self.counted}"
+        self.tickets[ticket] = then
+        self._propose(ticket, lambda document: change(ticket, document), now, within)
+        return ticket
+
+    def _propose(self, ticket: str, change: Change, now: int, within: int) -> None:
+        self.proposer.propose(ticket, change, now, now + within)
+
+    def receive(self, sender: str, body: Body, now: int) -> None:
+        voter, proposer = self.voter, self.proposer
+        if isinstance(body, Prepare):
+            voter.prepare(sender, body)
+        elif isinstance(body, Accept):
+            voter.accept(sender, body)
+        elif isinstance(body, Promise):
+            proposer.promise(sender, body, now)
+        elif isinstance(body, Accepted):
+            proposer.accepted(sender, body, now)
+        elif isinstance(body, Refused):
+            proposer.refused(body, now)
+        elif isinstance(body, Ask):
+            voter.ask(sender, body)
+        elif isinstance(body, Known):
+            voter.known(sender, body)
+        elif isinstance(body, Fetch) and self.document.version > body.version:
+            voter.out.append(Send(sender, Chosen(doc.encode(self.document))))
+        elif isinstance(body, Chosen):
+            proposer.learn(doc.decode(body.document))
+
+    def newer(self, sender: str, version: int) -> None:
+        """Another member says that it knows this version."""
+        if version > self.document.version:
+            self.heard[sender] = version
+
+    def tick(self, now: int) -> int:
+        """Everything that time brings. Returns when to be called again."""
+        due = now + 1_000_000
+        if (at := self.proposer.tick(now)) is not None:
+            due = min(due, at)
+        for keeper in self.keepers.values():
+            if asked := keeper.tick(now, self.document):
+                self._propose(*asked, now, keeper.kept_us())
+            due = min(due, keeper.next_us(now))
+        due = min(due, self.voter.tick(now, self.document), self._settle(now))
+        self.heard = {s: v for s, v in self.heard.items() if v > self.document.version}
+        if self.heard:
+            if now - self.fetched_at >= FETCH_US:
+                self.fetched_at = now
+                best = max(self.heard, key=lambda s: (self.heard[s], s))
+                self.voter.out.append(Send(best, Fetch(self.document.version)))
+                del self.heard[best]
+            due = min(due, self.fetched_at + FETCH_US)
+        return due
+
+    def _settle(self, now: int) -> int:
+        """Whoever began to replace a voter may be gone: any voter ends it, one of them most often first."""
+        if not self.document.former or not self.voter.voting:
+            self.settle_at = 0
+        elif not self.settle_at:
+            self.settle_at = now + self.proposer.chance.randrange(*SETTLE_US)
+        elif now >= self.settle_at:
+            self.settle_at = 0
+            self.propose(settle_voters, now)
+        return self.settle_at or now + SETTLE_US[1]
+
+    def take(self, now: int) -> list[Action]:
+        """What is to be done, in order; outcomes are told to those who asked."""
+        while self.proposer.ended:
+            ended, self.proposer.ended = self.proposer.ended, []
+            for outcome in ended:
+                if then := self.tickets.pop(outcome.ticket, None):
+                    then(outcome)
+                for keeper in self.keepers.values():
+                    if keeper.ended(outcome, now):
+                        break
+        out = [*self.voter.out, *self.proposer.out]
+        self.voter.out, self.proposer.out = [], []
+        return out
+
+
+# Changes of the document
+
+
+def say(name: str, text: str, if_version: int | None = None) -> Callable[[str, Document], Document | None]:
+    """A word of the staff; an empty text takes it away. Left as it is where the version is another."""
+    def change(ticket: str, document: Document) -> Document | None:
+        if if_version is not None and document.version != if_version:
+            return None
+        words = {k: v for k, v in document.words.items() if k != name} | ({name: text} if text else {})
+        return document.next(ticket, words=words)
+    return change
+
+
+def replace_voter(old: str, new: str) -> Callable[[str, Document], Document | None]:
+    """First step: from here on a majority of both sets has to agree. One at a time."""
+    def change(ticket: str, document: Document) -> Document | None:
+        if document.former or old not in document.voters or new in document.voters:
+            return None
+        voters = tuple(new if v == old else v for v in document.voters)
+        return document.next(ticket, voters=voters, former=document.voters)
+    return change
+
+
+def settle_voters(ticket: str, document: Document) -> Document | None:
+    """Second step: the set before has no say any more."""
+    return document.next(ticket, former=()) if document.former else None
--- /dev/null
+++ b/hopmill/fleet/search.py
@@ -0,0 +1,40 @@
+"""The explorer on all cores, and its report."""
+
+from __future__ import annotations
+
+import os
+import time
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+from hopmill.fleet import explore
+from hopmill.fleet.mutants import planted
+from hopmill.fleet.register import Register
+
+AT_ONCE = 2000  # schedules that a process runs before it reports
+
+
+def _run(first: int, count: int, members: int, mutant: str) -> tuple[int, list[explore.Found]]:
+    return explore.explore(count, first, members, planted(mutant) if mutant else Register)
+
+
+def search(schedules: int, seed: int, members: int, depth: int, cores: int, mutant: str) -> dict[str, Any]:
+    """One line: what was run, and what was found with the shortest schedule that still fails."""
+    register = planted(mutant) if mutant else Register
+    began, done, states, violations = time.monotonic(), 0, 0, []
+    rows = [(at, min(AT_ONCE, seed + schedules - at)) for at in range(seed, seed + schedules, AT_ONCE)]
+    with ProcessPoolExecutor(cores or os.cpu_count() or 1) as pool:
+        for count, found in pool.map(_run, *zip(*rows, strict=True), [members] * len(rows),
+                                     [mutant] * len(rows)) if rows else ():
+            done += count
+            if found:
+                short = explore.shrink(found[0], members, register)
+                violations.append({"seed": short.seed, "said": short.violation, "choices": short.choices})
+                pool.shutdown(cancel_futures=True)
+                break
+    if depth and not violations:
+        every, states, said = explore.every(depth, register)
+        done += every
+        violations += [{"depth": depth, "said": said}] if said else []
+    return {"schedules": done, "states": states, "members": members, "mutant": mutant or None,
+            "violations": violations, "seconds": round(time.monotonic() - began, 1)}
--- /dev/null
+++ b/hopmill/fleet/settings.py
@@ -0,0 +1,73 @@
+"""`[members]`: who the couriers of a fleet are and how they speak. Off unless it names a fleet."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Iterator
+from typing import Annotated
+
+import msgspec
+
+from hopmill.fields import Positive, Strict
+
+Id = Annotated[str, msgspec.Meta(min_length=1, max_length=32, pattern="^[A-Za-z0-9_.-]+$")]
+Place = Annotated[str, msgspec.Meta(max_length=32)]
+Drift = Annotated[float, msgspec.Meta(ge=0, le=0.1)]
+VOTERS = (1, 3, 5)
+MOST_MEMBERS = 2000  # that a member keeps in mind; names past it are counted and dropped
+ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+
+
+class Other(Strict, kw_only=True):
+    """Another courier of the fleet."""
+
+    id: Id
+    address: str  # IPv4 HOST:PORT where it hears datagrams
+    zone: Place = ""
+    region: Place = ""
+
+
+class Members(Strict, kw_only=True):
+    """This courier among the others. Times count elapsed time on this machine (CLOCK_BOOTTIME)."""
+
+    fleet: Id
+    id: Id
+    address: str  # IPv4 HOST:PORT; a socket is bound there
+    zone: Place = ""
+    region: Place = ""
+    others: tuple[Other, ...] = ()
+    voters: tuple[Id, ...]  # of a new fleet; from then on the register's document names them
+    leases: tuple[Id, ...] = ()  # that this courier tries to hold
+    period_ms: Positive = 80.0  # from one look at another member to the next
+    probe_ms: Positive = 200.0  # without an answer for so long, a member is suspected
+    patience_ms: Positive = 2100.0  # suspected for so long, it is taken for dead
+    lease_ms: Positive = 3000.0
+    drift: Drift = 0.01  # two machines' elapsed clocks run apart by at most this share
+
+
+def problems(members: Members) -> Iterator[str]:
+    """What is wrong in the relation of fields, one line each."""
+    ids = [members.id, *(o.id for o in members.others)]
+    for at, other in enumerate(members.others):
+        if other.id in ids[:at + 1]:
+            yield f"members.others[{at}].id: {other.id!r} is there twice"
+        if not ADDRESS.match(other.address):
+            yield f"members.others[{at}].address: must be an IPv4 HOST:PORT, not {other.address!r}"
+    if not ADDRESS.match(members.address):
+        yield f"members.address: must be an IPv4 HOST:PORT, not {members.address!r}"
+    if len(set(members.voters)) not in VOTERS or len(set(members.voters)) != len(members.voters):
+        yield "members.voters: must be one, three or five different members"
+    for at, voter in enumerate(members.voters):
+        if voter not in ids:
+            yield f"members.voters[{at}]: no such member: {voter!r}"
+    if members.probe_ms <= members.period_ms:
+        yield "members.probe_ms: must be over period_ms"
+
+
+def warnings(members: Members) -> Iterator[str]:
+    """What works, and costs the fleet its register when one zone fails."""
+    zone = {members.id: members.zone} | {o.id: o.zone for o in members.others}
+    for name, count in Counter(zone[v] for v in members.voters if v in zone).items():
+        if len(members.voters) > 1 and count > len(members.voters) // 2:
+            yield f"members.voters: zone {name!r} holds a majority of them"
--- a/hopmill/logs.py
+++ b/hopmill/logs.py
@@ -22,8 +22,8 @@
 
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 FORMATS = ("line", "json")
-PARTS = ("accept", "asyncio", "calls", "clients", "config", "courier", "discovery", "door", "journal",
-         "messages", "policy", "pool", "upgrade")
+PARTS = ("accept", "asyncio", "calls", "clients", "config", "courier", "discovery", "door", "fleet",
+         "journal", "messages", "policy", "pool", "upgrade")
 MOST = 4096  # bytes of a line: a pipe that is ready takes as many without waiting
 METHODS = ("debug", "info", "warning", "error", "exception")
 
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -12,6 +12,7 @@
 
 from hopmill import document as doc
 from hopmill.document import ConfigError, Document
+from hopmill.fleet.settings import Members
 from hopmill.interface import Settings
 
 Address = tuple[str, int]
@@ -44,6 +45,7 @@
     listen_fd: int | None = None  # the clients' listening socket, where the platform holds it
     options: Options = field(default_factory=lambda: Options())
     log: doc.Log = field(default_factory=lambda: doc.Log())
+    members: Members | None = None  # the fleet that this courier agrees with, if any
 
 
 @dataclass(frozen=True)
@@ -94,7 +96,8 @@
         disk_bytes=int(limits.disk_mb * 1_000_000), memory_bytes=int(limits.memory_mb * 1_000_000),
         known=known, settings=settings, zones=tuple(z.name for z in document.zones),
         operator=parse_address(door, "LB_OPERATOR") if door else None,
-        listen_fd=_listen_fd(env.get("LB_LISTEN_FD", "")), options=options(document), log=document.log)
+        listen_fd=_listen_fd(env.get("LB_LISTEN_FD", "")), options=options(document), log=document.log,
+        members=document.members)
 
 
 def options(document: Document) -> Options:
--- a/hopmill/net/handover.py
+++ b/hopmill/net/handover.py
@@ -88,6 +88,8 @@
         except Exception:  # whatever it was, this process is still the owner
             log.exception("upgrade.not_handed_over")
         sock.close()
+        if host.peers:
+            host.peers.thaw()
         self.handing_over, self.no_upgrade_until = None, host.loop.time() + AGAIN_S
         log.warning("upgrade.stood_still", seconds=round(host.loop.time() - began, 3))
         for acceptor in acceptors:
@@ -106,6 +108,8 @@
             learned=host.courier.carry(), returning=self._zones_returning(),
             calls=host.calls.carry(cargo), unwritten=host.calls.unwritten(),
             door=host.door.carry(cargo), moved=host.moved_to)
+        if host.peers:
+            cargo.values["fleet"] = host.peers.freeze() | {"socket": cargo.place(host.peers.sock.fileno())}
         cargo.values["clients"] = host.clients.carry(cargo, max(1, room - len(cargo.fds)))
         cargo.values["idle"] = host.pool.carry_idle(cargo, room - len(cargo.fds))
         return cargo
@@ -116,7 +120,7 @@
         carried, host = self.carried, self.host
         host.roster.waits = {(dest, route): until for dest, route, until in carried["waits"]}
         host.pool.resume_idle([
-            (endpoint, tuple(address), self._carried_sock(place), since, self._born(place, since))
+            (endpoint, tuple(address), self.sock(place), since, self._born(place, since))
             for endpoint, address, place, since, *_ in carried.get("idle", ())])
         host.events += [i.ZoneCarried(host.roster.zone(name), since, until)
                         for name, since, until in carried.get("returning", ())]
@@ -129,7 +133,7 @@
         host.events += [i.CallCarried(*call) for call in calls]
         host.turn()
 
-    def _carried_sock(self, place: int) -> socket.socket:
+    def sock(self, place: int) -> socket.socket:
         return socket.socket(fileno=self.cargo.fds[place])
 
     def _born(self, place: int, since: float) -> float:
@@ -139,7 +143,7 @@
 
     def resume_connections(self) -> None:
         """Calls, clients and callers go on; after this all of it has its owner."""
-        carried, host, sock = self.carried, self.host, self._carried_sock
+        carried, host, sock = self.carried, self.host, self.sock
         if carried["moved"]:
             host.move_discovery((carried["moved"][0], carried["moved"][1]))
         for endpoint, address, place, started, rows, received, *_ in carried["calls"]:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -34,6 +34,7 @@
 # Shares of the limit on open files; the rest is for calls, discovery, the journal and Python itself. Clients
 # may hold a third: over that they can't ask at all, so idle connections are closed before there are so many.
 CLIENT_SHARE, IDLE_SHARE = 0.3, 0.2
+FLEET_BYTES = 16_384  # of the disk, for what members keep, the file that is half written included
 MEMORY_SHARE = 1 / 8  # of the memory is for requests that are half way: each may be as long as the longest
 log, messages_log, policy_log = logs.part("courier"), logs.part("messages"), logs.part("policy")
 
@@ -47,7 +48,8 @@
         self.loop, self.config, self.s = loop, config, config.settings
         self.upgrade = HandOver(self, owner, cargo)
         self.courier = Courier(self.s, config.seed)
-        self.journal = Journal(owner.folder, config.disk_bytes,
+        self.peers: Any = None  # hopmill/net/peers.py, where the configuration names a fleet
+        self.journal = Journal(owner.folder, config.disk_bytes - (FLEET_BYTES if config.members else 0),
                                max(c.key_window_us for c in self.s.classes) / 1e6)
         self.roster = Roster(self.s, config.zones, self.courier.may_serve)
         self.events: list[i.Event] = []
@@ -93,6 +95,8 @@
         else:
             self.restore(set())
             self.turn()
+        if self.config.members:
+            self._join_fleet()
         self.clients.drain(self.journal.drained)
         self.watch.open()
         port = self.clients.listen(self._listening_socket())
@@ -340,6 +344,14 @@
         self.metrics = Metrics(tuple(c.name for c in self.s.classes), HostState(self))
         self.observer.meters = self.staff.metrics = self.metrics
 
+    def _join_fleet(self) -> None:
+        """Only here is any of it read, for the same reason. The fleet's files lie beside the journal."""
+        from hopmill.net.peers import Peers
+        carried = self.upgrade.carried.get("fleet")
+        sock = self.upgrade.sock(carried["socket"]) if carried else None
+        self.peers = self.staff.peers = Peers(self.loop, self.config.members, self.upgrade.owner.folder,
+                                              self.config.seed, carried, sock)
+
     def set_options(self, options: Options) -> None:
         """Only what changes is told: while a part is off the module never hears of it."""
         if options != self.options:
@@ -355,6 +367,8 @@
 
     def close(self) -> None:
         """Let go of everything at once; the journal already holds what is open."""
+        if self.peers:
+            self.peers.close()
         self.watch.stop()
         self.notices.stop()
         self.calls.close()
--- /dev/null
+++ b/hopmill/net/peers.py
@@ -0,0 +1,293 @@
+"""The members' socket, timer and storage: the only owner of them. What is decided is the node's affair."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+import socket
+import struct
+import time
+import zlib
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from hopmill import logs
+from hopmill.fleet import wire
+from hopmill.fleet.document import Document
+from hopmill.fleet.node import Node, Stored, Write
+from hopmill.fleet.proposer import Outcome
+from hopmill.fleet.settings import Members, warnings
+
+STATE, ANCHOR = "fleet.state", "fleet.anchor"
+SLOT_BYTES = 4096
+HEAD = struct.Struct(">II")  # bytes of a slot's payload, their crc32
+AT_ONCE = 256  # datagrams read before the loop goes on
+BUFFER_BYTES = 1 << 18
+FREEZE_S = 0.4  # an upgrade waits so long for a write that is under way
+log = logs.part("fleet")
+
+
+class Stopped(OSError):
+    """A write was under way for too long; the upgrade is tried again."""
+
+
+def elapsed_us() -> int:
+    """Elapsed time, suspension included; no clock that is set."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
+class Storage:
+    """The member's state in two slots of one file, written in turn: a torn write leaves the one before.
+
+    The anchor beside it is made once and never touched. Each slot holds its inode and the time of its last
+    change, which no tool that copies or unpacks files can set: what was put back is known by them.
+    """
+
+    class Slot(msgspec.Struct, array_like=True):
+        count: int  # of writes: the larger is the later
+        inode: int
+        changed_ns: int
+        state: bytes
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.state, self.anchor = folder, folder / STATE, folder / ANCHOR
+        self.count = 0
+
+    def load(self) -> tuple[Stored, bool]:
+        """(what is there, whether it is what was last written here). OSError: it can't be read."""
+        try:
+            data = self.state.read_bytes()
+        except FileNotFoundError:
+            return Stored(), False
+        slots = [s for at in (0, SLOT_BYTES) if (s := self._slot(data[at:at + SLOT_BYTES]))]
+        if not slots:  # damaged: as good as emptied
+            log.error("fleet.storage_unreadable", path=self.state)
+            return Stored(), False
+        slot = max(slots, key=lambda s: s.count)
+        self.count = slot.count
+        stored = msgspec.msgpack.decode(slot.state, type=Stored)
+        try:
+            there = os.stat(self.anchor)
+        except FileNotFoundError:
+            return stored, False
+        return stored, (there.st_ino, there.st_ctime_ns) == (slot.inode, slot.changed_ns)
+
+    def _slot(self, data: bytes) -> Slot | None:
+        size, checksum = HEAD.unpack_from(data.ljust(HEAD.size, b"\0"))
+        payload = data[HEAD.size:HEAD.size + size]
+        if not size or len(payload) != size or zlib.crc32(payload) != checksum:
+            return None
+        try:
+            return msgspec.msgpack.decode(payload, type=self.Slot)
+        except msgspec.DecodeError:
+            return None
+
+    def settle(self, same: bool) -> None:
+        """A new anchor where the old one does not hold."""
+        if not same:
+            self.anchor.unlink(missing_ok=True)
+            self.anchor.write_text(secrets.token_hex(16))
+            folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+            try:
+                os.fsync(folder)
+            finally:
+                os.close(folder)
+
+    def write(self, state: bytes) -> None:
+        """On disk when it returns. OSError: the state before may still hold."""
+        there = os.stat(self.anchor)
+        payload = msgspec.msgpack.encode(self.Slot(self.count + 1, there.st_ino, there.st_ctime_ns, state))
+        data = HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+        if len(data) > SLOT_BYTES:
+            raise OSError("the fleet's state is over its bound")
+        fd = os.open(self.state, os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            # The whole slot each time: its place on disk is taken once, and later writes change no metadata.
+            if os.pwrite(fd, data.ljust(SLOT_BYTES, b"\0"), (self.count + 1) % 2 * SLOT_BYTES) != SLOT_BYTES:
+                raise OSError("no room for the fleet's state")
+            os.fdatasync(fd)
+        finally:
+            os.close(fd)
+        self.count += 1
+
+
+class Peers:
+    """One member in this process."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, members: Members, folder: Path, seed: int,
+                 carried: dict[str, Any] | None = None, sock: socket.socket | None = None) -> None:
+        """carried, sock: from the process before, in an upgrade. OSError: no socket, or no folder."""
+        self.loop, self.s = loop, members
+        self.storage = Storage(folder)
+        if carried:
+            stored, same = msgspec.msgpack.decode(carried["state"], type=Stored), True
+        else:
+            stored, same = self.storage.load()
+            self.storage.settle(same)
+        self.node = Node(members, stored, same, seed, carried)
+        self.sock = sock or self._bind()
+        self.writer = ThreadPoolExecutor(1, "fleet-disk")
+        self.writing: Future[None] | None = None
+        self.waiting: list[Write] = []
+        self.timer: asyncio.TimerHandle | None = None
+        self.failing = False
+        self.open = True
+        self.version, self.leases = -1, dict[str, int]()
+        for text in warnings(members):
+            log.warning("fleet.settings", text=text)
+        log.info("fleet.member", member=members.id, incarnation=self.node.swim.me.incarnation,
+                 same_folder=same, votes=members.id in members.voters)
+        loop.add_reader(self.sock, self._readable)
+        self._pump()
+
+    def _bind(self) -> socket.socket:
+        host, _, port = self.s.address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+            sock.bind((host, int(port)))
+        except (OSError, OverflowError):
+            sock.close()
+            raise
+        return sock
+
+    # In and out
+
+    def _readable(self) -> None:
+        now = elapsed_us()
+        for _ in range(AT_ONCE):
+            try:
+                data = self.sock.recv(wire.MOST_BYTES + 1)
+            except BlockingIOError:
+                break
+            except OSError:  # an earlier datagram found nobody: that is what members find out by themselves
+                continue
+            self.node.datagram(data, now)
+        self._pump()
+
+    def _pump(self) -> None:
+        if not self.open:
+            return
+        now = elapsed_us()
+        due = self.node.tick(now)
+        for action in self.node.take(now):
+            if isinstance(action, Write):
+                self.waiting.append(action)
+            else:
+                self._send(action.address, action.data)
+        self._write()
+        self._tell(now)
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(max(0.001, (due - now) / 1e6), self._pump)
+
+    def _send(self, address: str, data: bytes) -> None:
+        host, _, port = address.rpartition(":")
+        try:
+            self.sock.sendto(data, (host, int(port)))
+        except (OSError, ValueError, OverflowError):
+            self.node.counts.dropped["not sent"] += 1
+
+    def _write(self) -> None:
+        """Off the loop, one at a time; the newest state covers those before it."""
+        if self.writing or not self.waiting:
+            return
+        batch, self.waiting = self.waiting, []
+        self.writing = self.writer.submit(self.storage.write, batch[-1].state)
+        self.writing.add_done_callback(
+            lambda done: self.loop.call_soon_threadsafe(self._written, batch, done) if self.open else None)
+
+    def _written(self, batch: list[Write], done: Future[None]) -> None:
+        if self.writing is not done:
+            return  # a freeze has seen to it
+        self.writing = None
+        error = done.exception()
+        if bool(error) is not self.failing:
+            self.failing = bool(error)
+            if error:
+                log.error("fleet.not_written", error=error)
+            else:
+                log.info("fleet.written_again")
+        for write in batch:
+            self.node.written(write, error is None, elapsed_us())
+        self._pump()
+
+    # Logs
+
+    def _tell(self, now: int) -> None:
+        for c in self.node.changed():
+            log.info("fleet.changed", member=c.id, state=c.state, was=c.was, incarnation=c.incarnation,
+                     why=c.why)
+        document = self.node.register.document
+        if document.version != self.version:
+            self.version = document.version
+            log.info("fleet.document", version=document.version, voters=",".join(document.voters))
+        for name in self.s.leases:
+            fence = self.node.held(name, now)
+            if fence != self.leases.get(name, 0):
+                self.leases[name] = fence
+                log.info("fleet.lease", lease=name, held=bool(fence), fence=fence or None)
+
+    # Staff
+
+    def status(self) -> dict[str, Any]:
+        return self.node.status(elapsed_us()) | {"disk": "failing" if self.failing else "well"}
+
+    def propose(self, change: Callable[[str, Document], Document | None],
+                then: Callable[[Outcome], None]) -> str:
+        ticket = self.node.propose(change, elapsed_us(), then)
+        self._pump()
+        return ticket
+
+    def held(self, lease: str) -> tuple[int, int]:
+        """(the fencing number to act under, 0 if this courier may not act; when that was, in us elapsed)."""
+        now = elapsed_us()
+        return self.node.held(lease, now), now
+
+    # Ends
+
+    def leave(self) -> None:
+        """A planned restart: the others need not find out by themselves."""
+        if self.open and self.node.started:
+            for keeper in self.node.register.keepers.values():
+                keeper.wanted = False  # handed on at once
+            self.node.swim.leave()
+            self._pump()
+
+    def freeze(self) -> dict[str, Any]:
+        """Silent from here on, nothing half written; what the next process goes on with. Stopped: not now."""
+        self.loop.remove_reader(self.sock)
+        if self.timer:
+            self.timer.cancel()
+        self.open = False
+        if self.writing:
+            try:
+                self.writing.exception(FREEZE_S)
+            except TimeoutError:
+                self.thaw()
+                raise Stopped("a write of the fleet's state is under way") from None
+            self.writing = None
+        return self.node.carry()
+
+    def thaw(self) -> None:
+        """The upgrade failed: go on."""
+        if self.open:
+            return
+        self.open = True
+        self.writing = None
+        self.loop.add_reader(self.sock, self._readable)
+        self._pump()
+
+    def close(self) -> None:
+        if self.open:
+            self.loop.remove_reader(self.sock)
+        self.open = False
+        if self.timer:
+            self.timer.cancel()
+        self.sock.close()
+        self.writer.shutdown(wait=False, cancel_futures=True)
--- a/hopmill/net/restart.py
+++ b/hopmill/net/restart.py
@@ -27,6 +27,8 @@
             return
         now = host.loop.time()
         self.closing_at = now + EXIT_S
+        if host.peers:
+            host.peers.leave()
         host.tell(i.Closing(host.clock() + int(CALLS_S * 1e6)))
         host.loop.call_later(LISTEN_S, self._stop_clients)
         host.loop.call_later(EXIT_S, self._exit)
--- a/hopmill/net/staff.py
+++ b/hopmill/net/staff.py
@@ -8,6 +8,7 @@
 from hopmill import interface as i
 from hopmill import observe
 from hopmill.net.clients import ClientServer
+from hopmill.net.staff_fleet import fleet_routes
 from hopmill.net.operator import Page, Routes
 from hopmill.net.pool import MOST_ROWS, Pool
 from hopmill.net.roster import Roster
@@ -27,6 +28,7 @@
         self.courier, self.journal, self.roster = courier, journal, roster
         self.pool, self.clients, self.clock, self.act, self.taking = pool, clients, clock, act, taking
         self.metrics: Any = None  # hopmill/net/metrics.py, while the door is open
+        self.peers: Any = None  # hopmill/net/peers.py, where the configuration names a fleet
 
     def routes(self) -> Routes:
         return Routes(("GET", "/healthcheck", self._healthcheck),
@@ -37,6 +39,7 @@
                       ("GET", "/lanes", self._lanes),
                       ("GET", "/connections", lambda: (200, self.pool.figures(self.roster.uid))),
                       ("GET", "/connections/*", self._connections),
+                      *fleet_routes(lambda: self.peers),
                       ("GET", "/zones", lambda: (200, {"zones": self.zone_rows()})),
                       ("POST", "/zones/*/maint", lambda name: self._set_zone_by_hand(name, True)),
                       ("POST", "/zones/*/ready", lambda name: self._set_zone_by_hand(name, False)),
--- a/hopmill/standin/courier.py
+++ b/hopmill/standin/courier.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import signal
 import socket
 import sys
@@ -13,6 +14,13 @@
 from hopmill.standin.server import HOST
 
 READY_S = 20.0
+DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG
+libc = ctypes.CDLL(None)
+
+
+def end_with_parent() -> None:
+    """In the child: it ends with the process that started it, however that one ends."""
+    libc.prctl(DEATH_SIGNAL, signal.SIGKILL, 0, 0, 0)
 
 
 def free_port(host: str = HOST) -> int:
@@ -39,7 +47,8 @@
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "hopmill", "serve", str(self.file), stderr=log, stdout=log,
-                stdin=asyncio.subprocess.DEVNULL, start_new_session=True)  # Ctrl-C is the demo's affair
+                stdin=asyncio.subprocess.DEVNULL, start_new_session=True,  # Ctrl-C is the demo's affair
+                preexec_fn=end_with_parent)
         async with asyncio.timeout(READY_S):
             while not await self._pings():
                 if self.process.returncode is not None:
--- a/hopmill/standin/ledger.py
+++ b/hopmill/standin/ledger.py
@@ -38,6 +38,9 @@
     def answered(self, ident: str, answer: str) -> None:
         self.entries[ident].answer = answer
 
+    def began(self, endpoint: str, idents: list[str]) -> None:
+        """A call with these messages has reached an endpoint."""
+
     def effect(self, ident: str) -> None:
         """A call with this message took effect at its partner."""
         if entry := self.entries.get(ident):
--- a/hopmill/standin/partner.py
+++ b/hopmill/standin/partner.py
@@ -120,6 +120,7 @@
         if refused:
             return refused
         items = _items(path, headers, body)
+        self.ledger.began(self.uid, [ident for ident, _ in items or ()])
         if items is None or len(items) > self.plan.bundle:
             return answer(413 if items else 400)
         self.waiting += 1
--- /dev/null
+++ b/hopmill/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Trials: many courier processes, a load, and faults between them; docs/fleet.md."""
--- /dev/null
+++ b/hopmill/trial/couriers.py
@@ -0,0 +1,112 @@
+"""The couriers of a trial: processes with a folder, a door, and a place among the members."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import re
+import resource
+import shutil
+import signal
+import socket
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from hopmill.net.peers import ANCHOR, STATE
+from hopmill.standin.courier import CourierProcess
+from hopmill.standin.server import HOST
+from hopmill.trial.relay import Relay
+
+LEASE = "duty"
+ZONES = 3
+DEATH = re.compile(rb"^(\S+) \S+\s+fleet\s+fleet\.changed member=(\S+) state=dead ")
+PATIENCE_S = 1.0
+
+
+def free_udp_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def members_toml(number: int, count: int, voters: int, relay: Relay) -> str:
+    """Its own address is its own; every other is reached through the relay."""
+    names = ", ".join(f'"c{n}"' for n in range(voters))
+    rows = [f'[members]\nfleet = "trial"\nid = "c{number}"\naddress = "{HOST}:{relay.inner[number]}"\n'
+            f'zone = "z{number % ZONES}"\nregion = "r"\nvoters = [{names}]\nleases = ["{LEASE}"]\n']
+    rows += [f'[[members.others]]\nid = "c{n}"\naddress = "{HOST}:{relay.ports[n]}"\n'
+             f'zone = "z{n % ZONES}"\nregion = "r"\n' for n in range(count) if n != number]
+    return "\n".join(rows)
+
+
+class Courier(CourierProcess):
+    """One that faults may happen to. `up` says that it should be running and hearing."""
+
+    def __init__(self, number: int, folder: Path, text: str) -> None:
+        super().__init__(f"c{number}", folder, text)
+        self.number = number
+        self.lock = asyncio.Lock()  # one fault of its process at a time
+        self.stopped = False
+        self.copies: list[Path] = []
+
+    @property
+    def state(self) -> Path:
+        return self.folder / f"{self.name}.state"
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid if self.process and self.process.returncode is None else 0
+
+    def signal(self, how: signal.Signals) -> None:
+        if self.pid:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, how)
+
+    def limit_files(self, size: int) -> None:
+        """No file of it can be written past so many bytes: the disk is full. -1: it has room again."""
+        if self.pid:
+            with contextlib.suppress(ProcessLookupError, OSError):
+                _, hard = resource.prlimit(self.pid, resource.RLIMIT_FSIZE)
+                resource.prlimit(self.pid, resource.RLIMIT_FSIZE, (hard if size < 0 else size, hard))
+
+    def copy_fleet_files(self) -> None:
+        to = self.folder / f"{self.name}.copy{len(self.copies)}"
+        to.mkdir()
+        for name in (STATE, ANCHOR):
+            with contextlib.suppress(OSError):
+                shutil.copy2(self.state / name, to / name)
+        self.copies.append(to)
+
+    def lose_fleet_files(self, back: bool) -> None:
+        """Emptied; or an earlier copy put back."""
+        for name in (STATE, ANCHOR):
+            (self.state / name).unlink(missing_ok=True)
+            if back and self.copies and (self.copies[0] / name).exists():
+                shutil.copy2(self.copies[0] / name, self.state / name)
+
+    async def ask(self, method: str, path: str) -> tuple[int, dict[str, Any]]:
+        """(status, body) of its door; (0, {}) where nobody answers in time."""
+        import json
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError, ValueError, IndexError):
+            async with asyncio.timeout(PATIENCE_S):
+                reader, writer = await asyncio.open_connection(HOST, self.door)
+                try:
+                    writer.write(f"{method} {path} HTTP/1.1\r\nHost: d\r\nContent-Length: 0\r\n\r\n".encode())
+                    data = await reader.read()
+                finally:
+                    writer.close()
+            head, _, body = data.partition(b"\r\n\r\n")
+            return int(head.split()[1]), json.loads(body)
+        return 0, {}
+
+    def deaths(self) -> list[tuple[int, str]]:
+        """(when, whom) it took for dead, from its log; when: us of the wall clock."""
+        found = []
+        with self.log.open("rb") as file:
+            for line in file:
+                if match := DEATH.match(line):
+                    at = datetime.fromisoformat(match[1].decode()).timestamp()
+                    found.append((int(at * 1e6), match[2].decode()))
+        return found
--- a/tests/test_face.py
+++ b/tests/test_face.py
@@ -58,7 +58,9 @@
         taken = f"127.0.0.1:{busy.getsockname()[1]}"
         env = {"LB_LISTEN": "127.0.0.1:0", "LB_OPERATOR": "127.0.0.1:0", "LB_STATE": str(tmp_path)}
         env |= {k: taken if v == "busy" else v for k, v in change.items()}
-        process = subprocess.Popen([sys.executable, "-m", "hopmill", "serve", EXAMPLE], cwd=ROOT, text=True,
+        file = tmp_path / "alone.toml"
+        file.write_text(Path(EXAMPLE).read_text().partition("[members]")[0])
+        process = subprocess.Popen([sys.executable, "-m", "hopmill", "serve", str(file)], cwd=ROOT, text=True,
                                    env={**os.environ, **env}, stderr=subprocess.PIPE)
         line = process.stderr.readline()
         process.send_signal(signal.SIGTERM) if status == 0 else None
