--- a/hopmill/cli/fleet.py
+++ b/hopmill/cli/fleet.py
@@ -100,7 +100,7 @@
            seeds: Seeds = "1") -> None:
     """Members in virtual time: how soon a dead one is known, false deaths, and cost; a line a seed."""
     from hopmill.cli.seeds import seeds_of
-    from hopmill.fleet.virtual import Plan, calm, detection
+    from hopmill.lab.members import Plan, calm, detection
     wrong = 0
     for seed in seeds_of(seeds):
         told = {"seed": seed}
--- a/hopmill/cli/lab.py
+++ b/hopmill/cli/lab.py
@@ -48,13 +48,15 @@
     build: str = ".",
     change: Set = None,
     cores: Cores = 0,
+    members: Annotated[bool, typer.Option("--members", help="Couriers that know one another.")] = False,
     as_json: JsonOption = False,
 ) -> None:
     """Play seeds of a scenario: a line each, in order, the same on every run."""
     from hopmill.lab import farm
 
     with _plain_errors(), farm.build(build) as what:
-        job = farm.Job(what, scenario, couriers, _changes(change or []))
+        changes = _changes(change or []) | ({"fleet.members": True} if members else {})
+        job = farm.Job(what, scenario, couriers, changes)
         broken = 0
         for row in farm.run([(job, seed) for seed in seeds_of(seeds)], _progress, cores):
             broken += "broken" in row
--- a/hopmill/fleet/checker.py
+++ b/hopmill/fleet/checker.py
@@ -22,7 +22,8 @@
     ticket: str
     began: int
     ended: int = -1
-    version: int = -1
+    version: int = -1  # of the document that it was told
+    made: int = 0  # the version that it made, if it was done
 
 
 class Checker:
@@ -32,7 +33,6 @@
         self.contents: dict[int, bytes] = {}
         self.ops: dict[str, Op] = {}
         self.fence, self.owner = 0, ""
-        self.done: set[str] = set()
 
     def ended(self, op: Op, outcome: Outcome, now: int) -> None:
         if outcome.state not in ("done", "left") or outcome.document is None:
@@ -47,11 +47,11 @@
         for other in self.ops.values():
             if other.ended >= 0 and other.ended < op.began and other.version > d.version:
                 raise Violation(f"{op.ticket} saw version {d.version}, after {other.version} was told")
-            close = 0 <= d.version - other.version < doc.RECENT
-            if other.ended >= 0 and close and other.ticket in self.done and other.ticket not in d.recent:
+            close = other.made and 0 <= d.version - other.made < doc.RECENT
+            if close and other.ticket not in d.recent:
                 raise Violation(f"{other.ticket} was done and is gone in version {d.version}")
         if outcome.state == "done":
-            self.done.add(op.ticket)
+            op.made = outcome.made
 
     def act(self, owner: str, fence: int) -> None:
         if fence < self.fence or fence == self.fence and owner != self.owner:
--- a/hopmill/fleet/document.py
+++ b/hopmill/fleet/document.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-MOST_BYTES = 900  # of it, encoded: an Accept with it has to fit a datagram
+MOST_BYTES = 750  # of it, encoded: with whatever goes along it has to fit a datagram
 RECENT = 8  # tickets of the last changes, so that one whose answer was lost is not done twice
 
 
--- a/hopmill/fleet/explore.py
+++ b/hopmill/fleet/explore.py
@@ -57,6 +57,8 @@
         self.net: list[tuple[str, str, Body, int]] = []  # with the version that the sender knew
         self.checker = Checker()
         self.members: dict[str, Member] = {}
+        self.closed: Callable[[str, str], bool] = lambda a, b: False
+        self.stalled = ""  # whose disk stands still
         for name in ids:
             rate = 1 + DRIFT * self.chance.choice((-0.49, 0.0, 0.49))  # two of them: under the bound
             member = Member(name, rate, self.chance.randrange(10**9), None)  # type: ignore[arg-type]
@@ -84,8 +86,7 @@
             while self.net or any(m.writes for m in self.members.values()):
                 for m in self.members.values():
                     self._written(m, len(m.writes))
-                if self.net:
-                    self._deliver(0)
+                self._deliver(0)
             self.now += 100_000
 
     # What may happen
@@ -105,7 +106,8 @@
                 (lambda m, arg: self._written(m, len(m.writes)), 16),
                 (lambda m, arg: self._tick(m), 10),
                 (lambda m, arg: self._jump(arg), 6),
-                (lambda m, arg: self._calm(arg), 6),
+                (lambda m, arg: self._calm(), 8),
+                (lambda m, arg: self._cut(arg), 5),
                 (lambda m, arg: self._lose(arg), 4),
                 (lambda m, arg: self._repeat(arg), 2),
                 (self._propose, 6),
@@ -127,21 +129,25 @@
         if self.net:
             self.net.append(self.net[arg % len(self.net)])
 
-    def _calm(self, arg: int) -> None:
-        """For a while everything arrives, or all but what goes to one member, or comes from it, or both."""
-        deaf = self.ids[arg % len(self.ids)]
-        cuts = arg // len(self.ids) % 4
+    def _cut(self, arg: int) -> None:
+        """From now on some ways are closed, or a disk stands still: what is under way there waits."""
+        how, arg = arg % 8, arg // 8
+        name, mask = self.ids[arg % len(self.ids)], arg // len(self.ids)
+        self.stalled = name if how == 3 else ""
+        self.closed = {
+            4: lambda a, b: b == name, 5: lambda a, b: a == name, 6: lambda a, b: name in (a, b),
+            7: lambda a, b: mask >> self.ids.index(a) & 1 != mask >> self.ids.index(b) & 1,
+        }.get(how, lambda a, b: False)
+
+    def _calm(self) -> None:
+        """For a while whatever can happen does, and nothing is lost."""
         for m in self.members.values():
-            if m.id != deaf or not cuts:
-                self._tick(m)
+            self._tick(m)
         for _ in range(60):
             for m in self.members.values():
                 self._written(m, len(m.writes))
-            at = next((n for n, (a, b, *_) in enumerate(self.net)
-                       if not (cuts & 1 and b == deaf) and not (cuts & 2 and a == deaf)), -1)
-            if at < 0:
+            if not self._deliver(0):
                 break
-            self._deliver(at)
 
     def _emit(self, m: Member) -> None:
         for action in m.register.take(m.clock(self.now)):
@@ -152,14 +158,20 @@
         if len(self.net) > 60:
             del self.net[:len(self.net) - 60]
 
-    def _deliver(self, at: int) -> None:
-        if not self.net:
-            return
-        sender, to, body, version = self.net.pop(at % len(self.net))
+    def _deliver(self, at: int) -> bool:
+        """The first at or after this place whose way is open."""
+        for n in range(len(self.net)):
+            sender, to, body, version = self.net[(at + n) % len(self.net)]
+            if not self.closed(sender, to):
+                break
+        else:
+            return False
+        del self.net[(at + n) % len(self.net)]
         if (m := self.members.get(to)) and m.up:
             m.register.newer(sender, version)
             m.register.receive(sender, body, m.clock(self.now))
             self._emit(m)
+        return True
 
     def _tick(self, m: Member) -> None:
         if m.up:
@@ -167,6 +179,8 @@
             self._emit(m)
 
     def _written(self, m: Member, count: int) -> None:
+        if m.id == self.stalled:
+            return
         for write in m.writes[:count]:
             m.disk = write.state
             self.net += [(m.id, s.to, s.body, m.register.document.version) for s in write.then]
@@ -215,6 +229,7 @@
             m.writes.clear()
 
     def _start(self, m: Member) -> None:
+        m = next((x for x in self.members.values() if not x.up), m)
         if not m.up:
             memory = msgspec.msgpack.decode(m.disk, type=Memory) if m.disk else Memory()
             self._again(m, memory, bool(m.disk))
@@ -236,7 +251,7 @@
             m.disk = b""
             self._again(m, msgspec.msgpack.decode(old, type=Memory) if old else Memory(), False)
             if arg // 2 % 4:
-                self._calm(arg // 8)
+                self._calm()
 
     def _all_well(self, m: Member) -> bool:
         voters = m.register.document.everyone | self.initial.everyone
@@ -335,27 +350,23 @@
                 yield lambda w, name=name: _wake(w, name)
             yield lambda w, name=name: _crash_or_start(w, name)
 
-    def visit(path: list[Callable[[World], None]]) -> str:
-        nonlocal schedules
-        world = begin()
-        try:
-            for move in path:
-                move(world)
-        except Violation as violation:
-            return str(violation)
-        state = hash(world.state())
-        if state in seen:
-            return ""
-        seen.add(state)
-        if len(path) == depth:
+    frontier: list[list[Callable[[World], None]]] = [[]]
+    for level in range(depth + 1):
+        following = []
+        for path in frontier:
+            world = begin()
             schedules += 1
-            return ""
-        for move in list(moves(world)):
-            if said := visit([*path, move]):
-                return said
-        return ""
-
-    return schedules, len(seen), visit([]) if depth else ""
+            try:
+                for move in path:
+                    move(world)
+            except Violation as violation:
+                return schedules, len(seen), str(violation)
+            state = hash(world.state())
+            if state not in seen:  # at no smaller depth, for all of these were tried before
+                seen.add(state)
+                following += [[*path, move] for move in moves(world)] if level < depth else []
+        frontier = following
+    return schedules, len(seen), ""
 
 
 def _wake(world: World, name: str) -> None:
--- a/hopmill/fleet/node.py
+++ b/hopmill/fleet/node.py
@@ -25,6 +25,8 @@
 from hopmill.fleet.wire import Ack, Ping, PingFor, Unheard
 
 BLOCK = 1000  # incarnations that are put on disk at a time, before the first of them is used
+FRESH = 1 << 32  # a member without a past begins above it
+AGAIN_US = 1_000_000  # after a disk that said no
 LARGEST = 1 << 48  # an incarnation past it is nobody's
 
 
@@ -65,10 +67,14 @@
 
     def __init__(self, members: Members, stored: Stored, same_folder: bool, seed: int,
                  carried: dict[str, Any] | None = None) -> None:
-        """same_folder: it is where it was stored, no copy. carried: by the process before, in an upgrade."""
+        """same_folder: it is where it was stored, no copy. seed: another with each start, from the system's
+        own chance. carried: by the process before, in an upgrade."""
         self.s, self.chance = members, random.Random(seed)
         self.ceiling = stored.ceiling
         life = carried["incarnation"] if carried else stored.ceiling + 1
+        if not carried and not same_folder:
+            # What it used before is lost with the folder: from a place where it has never been.
+            life = max(life, self.chance.randrange(FRESH, LARGEST >> 1))
         self.wanted = max(life, self.ceiling if carried else 0)  # the ceiling asked for
         self.counts = Counts()
         self.swim = Swim(members, life, self.chance, self._next_incarnation)
@@ -134,6 +140,10 @@
         self.ceiling = max(self.ceiling, write.ceiling)
         for send in write.then:
             self._send(send)
+        self._start(now)
+
+    def _start(self, now: int) -> None:
+        """Nothing is said before the incarnation is on disk."""
         if not self.started and self.swim.me.incarnation <= self.ceiling:
             self.started = True
             self.swim.start(now)
@@ -157,7 +167,11 @@
         if isinstance(body, (Ping, Ack, PingFor, Unheard)):
             self.swim.receive(frame.sender, body, now)
         else:
-            self.register.receive(frame.sender, body, now)
+            try:
+                self.register.receive(frame.sender, body, now)
+            except msgspec.DecodeError:  # the document in it
+                self.counts.dropped["unreadable"] += 1
+                return
         self.register.newer(frame.sender, frame.version)
 
     def _catch_up(self, now: int) -> None:
@@ -169,11 +183,12 @@
 
     def tick(self, now: int) -> int:
         """Everything that time brings. Returns when to be called again."""
+        if not self.started:
+            self._start(now)
         if not self.started:
             if not self.writes and self.wanted <= self.ceiling:
                 self._reserve(self.swim.me.incarnation)  # the disk said no: once more
-            self.due = 0
-            return now + 1_000_000
+            return now + AGAIN_US
         self._catch_up(now)
         self.due = min(self.swim.tick(now), self.register.tick(now))
         return self.due
@@ -200,8 +215,12 @@
         if not address:
             self.counts.dropped["no address"] += 1
             return
-        data = wire.write(self.s.fleet, self.s.id, self.swim.me.incarnation, self.register.document.version,
-                          send.body, self.swim.news_for(send.to))
+        try:
+            data = wire.write(self.s.fleet, self.s.id, self.swim.me.incarnation,
+                              self.register.document.version, send.body, self.swim.news_for(send.to))
+        except ValueError:
+            self.counts.dropped["too large"] += 1
+            return
         self.counts.sent += 1
         self.counts.sent_bytes += len(data)
         self.ready.append(Datagram(address, data))
--- a/hopmill/fleet/register.py
+++ b/hopmill/fleet/register.py
@@ -28,7 +28,7 @@
                  chance: random.Random) -> None:
         """life: of this member, never used before. memory, same_folder: what its voter finds on disk."""
         self.me, self.name = me, f"{me}#{life}"
-        self.voter = self.voter_type(me, initial, memory, same_folder)
+        self.voter = self.voter_type(me, initial, memory, same_folder, chance)
         self.proposer = self.proposer_type(self.name, initial, chance)
         self.keepers: dict[str, Keeper] = {}
         self.heard: dict[str, int] = {}  # versions that others know, while they are newer
@@ -58,6 +58,9 @@
         self.proposer.propose(ticket, change, now, now + within)
 
     def receive(self, sender: str, body: Body, now: int) -> None:
+        """msgspec.DecodeError: the document in it is none; nothing of it is kept."""
+        if isinstance(body, (Accept, Promise, Known, Chosen)) and body.document:
+            doc.decode(body.document)
         voter, proposer = self.voter, self.proposer
         if isinstance(body, Prepare):
             voter.prepare(sender, body)
--- a/hopmill/fleet/settings.py
+++ b/hopmill/fleet/settings.py
@@ -11,7 +11,7 @@
 
 from hopmill.fields import Positive, Strict
 
-Id = Annotated[str, msgspec.Meta(min_length=1, max_length=32, pattern="^[A-Za-z0-9_.-]+$")]
+Id = Annotated[str, msgspec.Meta(min_length=1, max_length=20, pattern="^[A-Za-z0-9_.-]+$")]
 Place = Annotated[str, msgspec.Meta(max_length=32)]
 Drift = Annotated[float, msgspec.Meta(ge=0, le=0.1)]
 VOTERS = (1, 3, 5)
--- a/hopmill/fleet/swim.py
+++ b/hopmill/fleet/swim.py
@@ -96,6 +96,7 @@
         self.told: dict[str, int] = {}  # of each piece of news, how often it was
         self.packed: dict[str, bytes] = {}
         self.suspects: set[str] = set()
+        self.outrun: set[str] = set()  # members that spoke with an earlier incarnation than is known
         self.out: list[Send] = []
         self.changed: list[Changed] = []
         self.dropped: Counter[str] = Counter()
@@ -130,7 +131,11 @@
             return False
         if incarnation < peer.incarnation:
             self.dropped["old incarnation"] += 1
+            if sender not in self.outrun:  # perhaps its folder is new: it has to hear of what it once was
+                self.outrun.add(sender)
+                self._ping(sender, now)
             return False
+        self.outrun.discard(sender)
         if incarnation > peer.incarnation:
             self._becomes(peer, ALIVE, incarnation, "its own word", now)
         peer.heard_at = now
@@ -138,7 +143,8 @@
 
     def _news(self, n: News, now: int, sender: str) -> None:
         if n.id == self.me.id:
-            if n.state != ALIVE and n.incarnation >= self.me.incarnation and not self.leaving:
+            mine = self.me.incarnation
+            if not self.leaving and (n.incarnation > mine or n.state != ALIVE and n.incarnation == mine):
                 self._refute(n.incarnation)
             return
         peer = self.peers.get(n.id)
@@ -262,6 +268,7 @@
         for kept in (self.peers, self.told, self.packed):
             kept.pop(name, None)
         self.suspects.discard(name)
+        self.outrun.discard(name)
 
     def _ping(self, target: str, now: int) -> int:
         self.seq += 1
@@ -327,7 +334,7 @@
         """What to say with a datagram: first what is thought of its receiver, if that is not alive."""
         rows = []
         peer = self.peers.get(to)
-        if peer and peer.state in (SUSPECT, DEAD) and peer.incarnation:
+        if peer and (peer.state in (SUSPECT, DEAD) or to in self.outrun) and peer.incarnation:
             rows.append(encode(peer.news()))
         most = TOLD * math.ceil(math.log2(self.size + 2))
         for name in heapq.nsmallest(12, self.told, key=self.told.__getitem__):
--- a/hopmill/fleet/voter.py
+++ b/hopmill/fleet/voter.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 
 from hopmill.fleet import document as doc
@@ -16,6 +18,8 @@
 from hopmill.fleet.wire import Accept, Accepted, Ask, Ballot, Known, Prepare, Promise, Refused
 
 NONE: Ballot = (0, "")
+MOST_LIVES = 8
+LIFE_BITS = 40
 ASK_US = 300_000  # between two rounds of asking to be let in
 
 
@@ -35,9 +39,10 @@
 class Voter:
     """`out` gathers its actions; whoever calls takes them."""
 
-    def __init__(self, me: str, initial: Document, memory: Memory, same_folder: bool) -> None:
+    def __init__(self, me: str, initial: Document, memory: Memory, same_folder: bool,
+                 chance: random.Random) -> None:
         """initial: the document of a fleet that has none yet. same_folder: no copy, and not emptied."""
-        self.me, self.initial, self.memory = me, initial, memory
+        self.me, self.initial, self.memory, self.chance = me, initial, memory, chance
         self.voting = self.begins = False
         self.others: set[str] = initial.everyone - {me}
         self.answers: dict[str, Known] = {}
@@ -56,7 +61,12 @@
 
     def named(self, known: Document) -> bool:
         """Whether the fleet counts on this voter, by its own memory or what is known to be chosen."""
-        return self.me in self.document().everyone | known.everyone
+        return self.me in self._there(known)
+
+    def _there(self, known: Document) -> set[str]:
+        """Who votes, by what is known to be chosen and what was accepted here; else as a new fleet begins."""
+        there = known.everyone if known.version else set()
+        return there | (self.document().everyone if self.memory.document or not there else set())
 
     def persist(self, *then: Send) -> None:
         self.out.append(Persist(msgspec.msgpack.encode(self.memory), then))
@@ -69,7 +79,7 @@
             return now + ASK_US
         if now - self.asked_at >= ASK_US:
             self.asked_at = now
-            self.others = (self.document().everyone | known.everyone) - {self.me}
+            self.others = self._there(known) - {self.me}
             self.out += [Send(other, Ask(self.claims)) for other in sorted(self.others)]
             self._judge()
         return self.asked_at + ASK_US
@@ -77,13 +87,21 @@
     def ask(self, sender: str, ask: Ask) -> None:
         """Another voter starts: what is said of its life is on disk before it is answered."""
         m = self.memory
-        before = m.lives.get(sender, 0)
-        if ask.life > before:
-            m.lives[sender] = ask.life
-            before = ask.life
+        before = max(ask.life, m.lives.get(sender, 0))
+        if before:
+            m.lives.pop(sender, None)
+            m.lives[sender] = before  # the latest noted stands last
+            self._prune()
         known = Known(before, self.voting, ask.life, m.promised, m.accepted, m.document, dict(m.lives))
         self.persist(Send(sender, known))
 
+    def _prune(self) -> None:
+        """Lives of the voters stay; of others the latest, for a datagram has to hold them. One that was a
+        voter long ago may be forgotten: no majority has counted on it since."""
+        lives, there = self.memory.lives, self.document().everyone
+        for name in [n for n in lives if n not in there][:max(0, len(lives) - MOST_LIVES)]:
+            del lives[name]
+
     def known(self, sender: str, known: Known) -> None:
         if self.voting or known.told != self.claims:
             return
@@ -111,7 +129,7 @@
         """A new life. Every life is noted by all others before its first vote, so one that nobody knows of
         has never voted, and may begin; else it comes back after the latest that is known."""
         if not heard and self.others <= set(self.answers):
-            self.claims, self.begins = 1, True
+            self.claims, self.begins = 1 + self.chance.getrandbits(LIFE_BITS), True  # never one of before
         elif heard and self.majority_of_others(self.answers):
             self.claims = heard + 1
         if self.claims:
@@ -170,5 +188,6 @@
 
     def stands(self, basis: tuple[tuple[str, int], ...]) -> bool:
         """No promise under it was given in a life that has ended since."""
-        lives = self.memory.lives | {self.me: self.memory.life}
-        return all(life >= lives.get(voter, 0) for voter, life in basis)
+        lives = self.memory.lives
+        return all(life == self.memory.life if voter == self.me else life >= lives.get(voter, 0)
+                   for voter, life in basis)
--- a/hopmill/lab/courier.py
+++ b/hopmill/lab/courier.py
@@ -52,6 +52,8 @@
         self.alive = self.listening = True
         self.module = self.dialect.courier(self.settings, self.world.module_seed(self.number, self.life))
         i = self.dialect.i
+        if self.world.members:
+            self.world.members.start(self.number)
         self.tell(
             self.dialect.make("EndpointsListed", form=i.ListForm.CACHED, entries=tuple(self.known.values()))
         )
@@ -63,6 +65,8 @@
         """SIGKILL: calls that are out may have run; who has no answer yet gets none."""
         self.alive = self.listening = False
         self.life += 1
+        if self.world.members:
+            self.world.members.kill(self.number)
         self.rules.forget(self.number)
         self.calls.lost()
         waiting = [reply for _, reply in self.arrived.values()]
--- a/hopmill/fleet/virtual.py
+++ b/hopmill/lab/members.py
@@ -1,8 +1,8 @@
-"""Many members in virtual time: how soon a dead one is known, who is wrongly taken for dead, the cost."""
+"""Members in virtual time: beside the laboratory's couriers, or alone, to see how soon a dead one is known,
+who is wrongly taken for dead, and the cost."""
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +12,8 @@
 
 from hopmill.fleet.node import Node, Stored, Write
 from hopmill.fleet.settings import Members, Other
+from hopmill.fleet.swim import DEAD
+from hopmill.lab.clock import Clock
 
 DELAY_US = (200, 2_000)  # of a datagram
 DISK_US = 2_000
@@ -42,12 +44,12 @@
 class Fleet:
     """One clock for all; what each sees of the others goes through `passes` and a random delay."""
 
-    def __init__(self, plan: Plan) -> None:
-        self.plan, self.chance, self.now = plan, random.Random(plan.seed), 0
+    def __init__(self, plan: Plan, clock: Clock | None = None) -> None:
+        """clock: of a play that these members are part of, which then starts and ends them."""
+        self.plan, self.chance = plan, random.Random(plan.seed)
+        self.clock = clock or Clock()
         self.configs = configurations(plan)
         self.places = {c.address: n for n, c in enumerate(self.configs)}
-        self.events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.count = 0
         self.nodes: list[Node | None] = [None] * plan.members
         self.disks = [b""] * plan.members
         self.stopped = [0] * plan.members  # until when
@@ -56,18 +58,18 @@
         self.passes: Callable[[int, int], bool] = lambda a, b: True
         self.lives = 0
         self.bytes = self.datagrams = 0
-        for n in range(plan.members):
+        for n in range(plan.members if clock is None else 0):
             self.after(self.chance.randrange(100_000), self.start, n)
 
+    @property
+    def now(self) -> int:
+        return self.clock.now
+
     def after(self, delay: int, action: Callable[..., None], *args: Any) -> None:
-        self.count += 1
-        heapq.heappush(self.events, (self.now + delay, self.count, action, args))
+        self.clock.after(delay, action, *args)
 
     def run(self, until: int) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, action, args = heapq.heappop(self.events)
-            action(*args)
-        self.now = until
+        self.clock.run(until)
 
     def start(self, n: int) -> None:
         stored = msgspec.msgpack.decode(self.disks[n], type=Stored) if self.disks[n] else Stored()
@@ -78,6 +80,15 @@
     def kill(self, n: int) -> None:
         self.nodes[n] = None
 
+    def figures(self) -> dict[str, Any]:
+        """What a play is told of its members."""
+        live = [node for node in self.nodes if node]
+        return {"live": len(live), "versions": sorted({n.register.document.version for n in live}),
+                "taken_for_dead": sum(p.state == DEAD and p.incarnation > 0 and self.nodes[m] is not None
+                                      for node in live for p in node.swim.peers.values()
+                                      for m in (int(p.id[1:]),)),
+                "datagrams": self.datagrams, "bytes": self.bytes}
+
     def stop(self, n: int, lasts: int) -> None:
         """SIGSTOP; what comes meanwhile is read on waking."""
         self.stopped[n] = self.now + lasts
--- a/hopmill/lab/play.py
+++ b/hopmill/lab/play.py
@@ -44,6 +44,8 @@
     except ModuleFailed as error:
         broken = {"broken": "module failed", "text": f"seed {seed}: {error}", "trace": []}
     told = result(world)
+    if world.members:
+        told["members"] = world.members.figures()
     if broken:
         told |= {"g": 0.0, **broken}
     if more:
--- a/hopmill/lab/scenario.py
+++ b/hopmill/lab/scenario.py
@@ -94,6 +94,7 @@
     connect_ms: Range = 300.0
     back_ms: Range = 600.0  # a killed courier is back after so long
     told_couriers: int = 0  # what the settings say, if not the truth
+    members: bool = False  # that know one another, as hopmill/fleet has it
 
 
 class Reports(Strict, kw_only=True):
--- a/hopmill/lab/world.py
+++ b/hopmill/lab/world.py
@@ -13,6 +13,7 @@
 from hopmill.lab.clock import Clock
 from hopmill.lab.courier import CourierModel
 from hopmill.lab.dialect import Dialect
+from hopmill.lab.members import Fleet, Plan
 from hopmill.lab.rules import Rules
 from hopmill.lab.scenario import Scenario, draw
 from hopmill.lab.troubles import Troubles
@@ -44,6 +45,8 @@
         self.couriers = [CourierModel(self, n, int(zones[n])) for n in range(s.fleet.couriers)]
         for courier in self.couriers:
             courier.known = {n: self.entry(n) for n in self.endpoints}
+        self.members = Fleet(Plan(s.fleet.couriers, seed=seed, zones=s.net.zones, leases=("duty",)),
+                             self.clock) if s.fleet.members else None
         self.clients = Clients(self)
         self.troubles = Troubles(self)
 
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -350,7 +350,7 @@
         carried = self.upgrade.carried.get("fleet")
         sock = self.upgrade.sock(carried["socket"]) if carried else None
         self.peers = self.staff.peers = Peers(self.loop, self.config.members, self.upgrade.owner.folder,
-                                              self.config.seed, carried, sock)
+                                              carried, sock)
 
     def set_options(self, options: Options) -> None:
         """Only what changes is told: while a part is off the module never hears of it."""
--- a/hopmill/net/metrics.py
+++ b/hopmill/net/metrics.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
@@ -104,6 +104,29 @@
         yield from self._by("hopmill_circuits", "Circuits by state.", "state", observe.circuits(host.courier))
         yield from self._zones()
         yield from self._connections()
+        if host.peers:
+            yield from self._fleet(host.peers.status())
+
+    @staticmethod
+    def _fleet(status: dict[str, Any]) -> Iterator[Metric]:
+        states = [row["state"] for row in status["members"]]
+        yield from HostState._by("hopmill_fleet_members", "Members as this courier sees them.", "state",
+                            {state: states.count(state) for state in sorted(set(states))})
+        counts = status["datagrams"]
+        for name, text, value in (
+                ("hopmill_fleet_version", "Of the register's document, as known here.", status["version"]),
+                ("hopmill_fleet_votes", "1 while this courier votes.", int(status["votes"])),
+                ("hopmill_fleet_health", "Of this member's own hearing; 0 is well.", status["health"]),
+                ("hopmill_fleet_leases_held", "Leases that it may act under.",
+                 sum(row["mine"] for row in status["leases"]))):
+            yield GaugeMetricFamily(name, text, value=value)
+        for name, text in (("sent", "Datagrams to members."), ("sent_bytes", "Their bytes."),
+                           ("received", "Datagrams from members.")):
+            yield CounterMetricFamily(f"hopmill_fleet_{name}", text, value=counts[name])
+        dropped = CounterMetricFamily("hopmill_fleet_dropped", "Datagrams by reason.", labels=["reason"])
+        for reason, count in counts["dropped"].items():
+            dropped.add_metric([reason], count)
+        yield dropped
 
     def _lanes(self) -> Iterator[Metric]:
         host, names = self.host, ["partner", "endpoint"]
--- a/hopmill/net/peers.py
+++ b/hopmill/net/peers.py
@@ -26,6 +26,7 @@
 STATE, ANCHOR = "fleet.state", "fleet.anchor"
 SLOT_BYTES = 4096
 HEAD = struct.Struct(">II")  # bytes of a slot's payload, their crc32
+FAILED_US = 1_000_000  # after a fault of the program
 AT_ONCE = 256  # datagrams read before the loop goes on
 BUFFER_BYTES = 1 << 18
 FREEZE_S = 0.4  # an upgrade waits so long for a write that is under way
@@ -119,7 +120,7 @@
 class Peers:
     """One member in this process."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, members: Members, folder: Path, seed: int,
+    def __init__(self, loop: asyncio.AbstractEventLoop, members: Members, folder: Path,
                  carried: dict[str, Any] | None = None, sock: socket.socket | None = None) -> None:
         """carried, sock: from the process before, in an upgrade. OSError: no socket, or no folder."""
         self.loop, self.s = loop, members
@@ -129,7 +130,7 @@
         else:
             stored, same = self.storage.load()
             self.storage.settle(same)
-        self.node = Node(members, stored, same, seed, carried)
+        self.node = Node(members, stored, same, secrets.randbits(64), carried)
         self.sock = sock or self._bind()
         self.writer = ThreadPoolExecutor(1, "fleet-disk")
         self.writing: Future[None] | None = None
@@ -167,13 +168,27 @@
                 break
             except OSError:  # an earlier datagram found nobody: that is what members find out by themselves
                 continue
-            self.node.datagram(data, now)
+            try:
+                self.node.datagram(data, now)
+            except Exception:
+                log.exception("fleet.failed")
         self._pump()
 
     def _pump(self) -> None:
+        """Whatever goes wrong here must not end the courier, nor this member's timers."""
         if not self.open:
             return
-        now = elapsed_us()
+        if self.timer:
+            self.timer.cancel()
+        try:
+            wait_us = self._carry_out(elapsed_us())
+        except Exception:
+            log.exception("fleet.failed")
+            wait_us = FAILED_US
+        self.timer = self.loop.call_later(max(0.001, wait_us / 1e6), self._pump)
+
+    def _carry_out(self, now: int) -> int:
+        """Returns when to be called again, from now."""
         due = self.node.tick(now)
         for action in self.node.take(now):
             if isinstance(action, Write):
@@ -182,9 +197,7 @@
                 self._send(action.address, action.data)
         self._write()
         self._tell(now)
-        if self.timer:
-            self.timer.cancel()
-        self.timer = self.loop.call_later(max(0.001, (due - now) / 1e6), self._pump)
+        return due - now
 
     def _send(self, address: str, data: bytes) -> None:
         host, _, port = address.rpartition(":")
--- a/hopmill/standin/courier.py
+++ b/hopmill/standin/courier.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import ctypes
+import os
 import signal
 import socket
 import sys
@@ -42,13 +43,18 @@
         self.file.write_text(f'format = 1\nname = "{name}"\nlisten = "{HOST}:{self.port}"\n'
                              f'operator = "{HOST}:{self.door}"\nstate = "{state}"\n{text}')
 
-    async def start(self) -> None:
-        """Returns once it answers PING. OSError if it ends first."""
+    async def launch(self, module: str = "hopmill", fds: tuple[int, ...] = (),
+                     **env: str) -> asyncio.subprocess.Process:
+        """env: on top of this process's own."""
         with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "hopmill", "serve", str(self.file), stderr=log, stdout=log,
+            return await asyncio.create_subprocess_exec(
+                sys.executable, "-m", module, "serve", str(self.file), stderr=log, stdout=log,
                 stdin=asyncio.subprocess.DEVNULL, start_new_session=True,  # Ctrl-C is the demo's affair
-                preexec_fn=end_with_parent)
+                env={**os.environ, **env}, pass_fds=fds, preexec_fn=end_with_parent)
+
+    async def start(self) -> None:
+        """Returns once it answers PING. OSError if it ends first."""
+        self.process = await self.launch()
         async with asyncio.timeout(READY_S):
             while not await self._pings():
                 if self.process.returncode is not None:
--- a/hopmill/trial/couriers.py
+++ b/hopmill/trial/couriers.py
@@ -4,18 +4,20 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import re
 import resource
 import shutil
 import signal
 import socket
+import time
 from datetime import datetime
 from pathlib import Path
 from typing import Any
 
 from hopmill.net.peers import ANCHOR, STATE
-from hopmill.standin.courier import CourierProcess
+from hopmill.standin.courier import CourierProcess, free_port
 from hopmill.standin.server import HOST
 from hopmill.trial.relay import Relay
 
@@ -23,6 +25,7 @@
 ZONES = 3
 DEATH = re.compile(rb"^(\S+) \S+\s+fleet\s+fleet\.changed member=(\S+) state=dead ")
 PATIENCE_S = 1.0
+UPGRADE_S = 8.0
 
 
 def free_udp_port() -> int:
@@ -44,13 +47,51 @@
 class Courier(CourierProcess):
     """One that faults may happen to. `up` says that it should be running and hearing."""
 
-    def __init__(self, number: int, folder: Path, text: str) -> None:
+    def __init__(self, number: int, folder: Path, text: str, clock_s: float) -> None:
+        """clock_s: how far its wall clock is off, always."""
         super().__init__(f"c{number}", folder, text)
+        # The trial holds the clients' socket, as the platform does, so that a process can take over.
+        self.listening = socket.create_server((HOST, self.port), backlog=512)
+        self.clock_s, self.disk = clock_s, folder / f"c{number}.disk"
         self.number = number
         self.lock = asyncio.Lock()  # one fault of its process at a time
         self.stopped = False
         self.copies: list[Path] = []
 
+    async def launch(self, module: str = "", fds: tuple[int, ...] = (),
+                     **env: str) -> asyncio.subprocess.Process:
+        fd = self.listening.fileno()
+        return await super().launch("hopmill.trial.process", (fd,), LB_LISTEN_FD=str(fd),
+                                    HOPMILL_TRIAL_CLOCK_S=str(self.clock_s),
+                                    HOPMILL_TRIAL_DISK=str(self.disk), LB_OPERATOR=f"{HOST}:{self.door}")
+
+    async def upgrade(self) -> bool:
+        """A second process takes over from the first. False if it did not, and the first goes on."""
+        former, former_door = self.process, self.door
+        assert former is not None
+        self.door = free_port()
+        self.process = await self.launch()
+        until = time.monotonic() + UPGRADE_S
+        while time.monotonic() < until and self.process.returncode is None:
+            status, _ = await self.ask("GET", "/healthcheck")
+            if status == 200:
+                await former.wait()
+                return True
+            if former.returncode is not None and status:
+                return True
+            await asyncio.sleep(0.05)
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        if former.returncode is None:
+            self.process, self.door = former, former_door
+            return False
+        await self.start()
+        return False
+
+    def slow(self, ms: float) -> None:
+        self.disk.write_text(str(ms))
+
     @property
     def state(self) -> Path:
         return self.folder / f"{self.name}.state"
@@ -88,7 +129,6 @@
 
     async def ask(self, method: str, path: str) -> tuple[int, dict[str, Any]]:
         """(status, body) of its door; (0, {}) where nobody answers in time."""
-        import json
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError, ValueError, IndexError):
             async with asyncio.timeout(PATIENCE_S):
                 reader, writer = await asyncio.open_connection(HOST, self.door)
--- a/hopmill/trial/faults.py
+++ b/hopmill/trial/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from collections import Counter
 
 from hopmill.trial.couriers import Courier
 from hopmill.trial.history import History
@@ -19,7 +20,7 @@
     def __init__(self, couriers: list[Courier], relay: Relay, history: History) -> None:
         self.couriers, self.relay, self.history = couriers, relay, history
         self.killed = 0
-        self.counts: dict[str, int] = {}
+        self.counts: Counter[str] = Counter()  # by kind; those of processes once for each of them
         self.net = relay.loss, relay.repeat, relay.delay_s
 
     async def carry_out(self, faults: list[Fault]) -> None:
@@ -31,7 +32,6 @@
                 group.create_task(self._fault(fault))
 
     async def _fault(self, fault: Fault) -> None:
-        self.counts[fault.kind] = self.counts.get(fault.kind, 0) + 1
         who = [self.couriers[n] for n in fault.who]
         hit = [c.name for c in who] or [c.name for c in self.couriers]
         if fault.kind == "split":
@@ -39,10 +39,9 @@
         self.history.add("trial", "fault", kind=fault.kind, members=hit, detail=fault.detail, until_us=0)
         row = self.history.rows[-1]
         row["until_us"] = row["at_us"] + int(fault.lasts * 1e6)
-        if fault.kind in ("split", "oneway"):
-            await self._cut(fault)
-        elif fault.kind == "loss":
-            await self._loss(fault)
+        if fault.kind in ("split", "oneway", "loss"):
+            self.counts[fault.kind] += 1
+            await (self._loss(fault) if fault.kind == "loss" else self._cut(fault))
         else:
             await asyncio.gather(*(self._process(c, fault) for c in who))
         row["until_us"] = max(row["until_us"], self.history.now())
@@ -50,6 +49,7 @@
     async def _process(self, c: Courier, fault: Fault) -> None:
         if c.lock.locked():
             return  # something happens to it already
+        self.counts[fault.kind] += 1
         async with c.lock:
             if fault.kind == "stop":
                 await self._stop(c, min(STOPPED_MOST_S, fault.lasts))
@@ -57,6 +57,12 @@
                 c.limit_files(1)
                 await asyncio.sleep(fault.lasts)
                 c.limit_files(-1)
+            elif fault.kind == "slowdisk":
+                c.slow(fault.detail["ms"])
+                await asyncio.sleep(fault.lasts)
+                c.slow(0)
+            elif fault.kind == "upgrade":
+                self.history.add(c.name, "upgrade", done=await c.upgrade())
             else:
                 await self._end_and_start(c, fault)
 
--- a/hopmill/trial/run.py
+++ b/hopmill/trial/run.py
@@ -87,7 +87,8 @@
         for n in range(self.ask.couriers):
             text = courier_toml(self.discovery.port, o, n, KINDS) + "\n" + members_toml(
                 n, self.ask.couriers, self.voters, self.relay)
-            self.couriers.append(Courier(n, self.folder, text))
+            off = self.chance.uniform(-1, 1) * self.s.clocks_off_s
+            self.couriers.append(Courier(n, self.folder, text, off))
         self.hand = Hand(self.couriers, self.relay, self.history)
         starting = asyncio.Semaphore(STARTING)
 
@@ -200,6 +201,7 @@
             if c.process is not None:
                 with contextlib.suppress(ProcessLookupError):
                     await c.process.wait()
+            c.listening.close()
         self.relay.close()
         for server in (self.discovery, *(m for p in self.partners for m in p.machines)):
             await server.stop()
--- a/hopmill/trial/scenario.py
+++ b/hopmill/trial/scenario.py
@@ -13,7 +13,8 @@
 from hopmill.fields import ConfigError, NotNegative, Positive, Share, Strict
 
 FOLDER = Path(__file__).parent / "scenarios"
-KINDS = ("kill", "stop", "split", "oneway", "loss", "folder", "fulldisk", "restart", "half")
+KINDS = ("kill", "stop", "split", "oneway", "loss", "folder", "fulldisk", "slowdisk", "restart", "upgrade",
+         "half")
 QUIET_S = 1.0  # before the first fault, and between a fault's end and the end of the trial at least
 
 
@@ -34,6 +35,7 @@
     changes_per_s: NotNegative = 5.0
     acts_per_s: NotNegative = 20.0  # askings of each courier whether it holds the lease
     net: Net = Net()
+    clocks_off_s: NotNegative = 0.0  # wall clocks are wrong by up to so much, either way
     every_s: NotNegative = 0.0  # mean time between two faults; 0: none
     faults: dict[str, NotNegative] = {}  # how often each kind, against the others
 
@@ -103,6 +105,9 @@
             detail |= {"loss": chance.choice((0.1, 0.3)), "repeat": chance.choice((0.0, 0.2)),
                        "delay_ms": chance.choice((1.0, 20.0, 200.0))}
             who = []
+        elif kind == "slowdisk":
+            detail["ms"] = chance.choice((10.0, 100.0, 1000.0))
+            who = who[:chance.choice((1, members))]
         else:
             who = who[:1]
         faults.append(Fault(round(at, 3), kind, round(lasts, 3), tuple(who), detail))
@@ -114,5 +119,6 @@
     "restart": lambda c: 0.3, "stop": lambda c: c.choice((c.uniform(0.1, 1.0), c.uniform(1.0, 20.0))),
     "split": lambda c: c.uniform(0.5, 5.0), "oneway": lambda c: c.uniform(0.5, 5.0),
     "loss": lambda c: c.uniform(1.0, 5.0), "folder": lambda c: c.uniform(0.1, 1.0),
+    "slowdisk": lambda c: c.uniform(0.5, 5.0), "upgrade": lambda c: 1.0,
     "fulldisk": lambda c: c.uniform(0.5, 3.0),
 }
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,346 @@
+"""Members in virtual time and as objects: who is there, how they speak, what the register promises."""
+
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hopmill.fleet import document as doc
+from hopmill.fleet import explore, wire
+from hopmill.fleet.document import Document, Lease
+from hopmill.fleet.lease import Keeper
+from hopmill.fleet.mutants import PLANTED, planted
+from hopmill.fleet.node import Node, Stored, Write
+from hopmill.fleet.proposer import Outcome
+from hopmill.fleet.register import replace_voter, say
+from hopmill.fleet.settings import Members, Other, problems, warnings
+from hopmill.fleet.swim import ALIVE, DEAD, MOST_RELAYS
+from hopmill.fleet.voter import MOST_LIVES
+from hopmill.lab.members import Fleet, Plan, calm, detection
+
+MEMBERS = dict(fleet="f", id="a", address="127.0.0.1:7001", voters=("a", "b", "c"), others=(
+    Other(id="b", address="127.0.0.1:7002", zone="z"), Other(id="c", address="127.0.0.1:7003", zone="z")))
+
+
+def members(**changes):
+    return Members(**{**MEMBERS, **changes})
+
+
+# Configuration
+
+@pytest.mark.parametrize(("changes", "said"), [
+    ({}, ""), ({"voters": ("a", "b")}, "voters: must be one, three or five"),
+    ({"voters": ("a", "a", "b")}, "voters: must be"), ({"voters": ("a", "b", "x")}, r"voters\[2\]: no such member"),
+    ({"address": "localhost:1"}, "address: must be an IPv4"), ({"id": "b", "voters": ("b",)}, r"others\[0\].id: 'b' is there twice"),
+    ({"others": (Other(id="b", address="h"),), "voters": ("a",)}, r"others\[0\].address: must be"),
+    ({"probe_ms": 80.0}, "probe_ms: must be over period_ms")])
+def test_what_is_wrong_with_members_is_named(changes, said):
+    found = list(problems(members(**changes)))
+    assert (len(found) == 1 and __import__("re").search(said, found[0])) if said else not found
+
+
+def test_a_zone_with_a_majority_of_voters_is_warned_of():
+    assert "zone 'z' holds a majority" in list(warnings(members()))[0]
+    assert not list(warnings(members(voters=("a",)))) and not list(warnings(members(zone="y", others=(
+        Other(id="b", address="127.0.0.1:7002", zone="x"), MEMBERS["others"][1]))))
+
+
+# The wire
+
+def frame(fleet="f", sender="b", incarnation=1, body=None, form=wire.FORMAT, news=()):
+    row = wire.Frame(form, fleet, sender, incarnation, 0, msgspec.Raw(wire.encode(body or wire.Ping(1, "a"))),
+                     tuple(msgspec.Raw(wire.encode(n)) for n in news))
+    return wire.encode(row)
+
+
+def started(**changes):
+    node = Node(members(**changes), Stored(), False, 1)
+    for action in node.take(0):
+        node.written(action, True, 0)
+    node.take(0)
+    return node
+
+
+def sends(node, now=0):
+    """Who is written to, and what."""
+    return [(a.address, wire.read(a.data, "f")[1]) for a in node.take(now) if not isinstance(a, Write)]
+
+
+BEYOND = wire.Known(1, True, 0, (1, "b"), (1, "b"), b"\xc1 no document")
+
+
+@pytest.mark.parametrize(("data", "reason"), [
+    (b"", "unreadable"), (b"\xc1" * 40, "unreadable"), (b"x" * 1201, "long"), (frame()[:-3], "unreadable"),
+    (frame(form=2), "format"), (frame(fleet="g"), "fleet"), (frame(incarnation=1 << 49), "incarnation"),
+    (frame(sender="nobody"), "unknown"), (frame(body=wire.Chosen(b"\xc1")), "unreadable"),
+    (frame(body=wire.Promise((1, "b"), 1, (1, "b"), b"\xc1")), "unreadable")])
+def test_what_cannot_be_read_is_counted_and_dropped(data, reason):
+    node = started()
+    node.datagram(data, 10)
+    assert dict(node.counts.dropped + node.swim.dropped) == ({reason: 1} if reason else {})
+    assert [to for to, body in sends(node) if isinstance(body, wire.Ack)] == []
+
+
+@given(st.binary(max_size=200) | st.builds(
+    lambda body, cut: frame(body=body)[:cut],
+    st.sampled_from([BEYOND, wire.Accept((1, "b"), b"x", (("b", 1),)), wire.PingFor(1, "c"), wire.Fetch(0)]),
+    st.integers(0, 300)))
+@settings(max_examples=200, deadline=None)
+def test_no_datagram_breaks_a_member(data):
+    node = started()
+    node.datagram(data, 10)
+    node.tick(20)
+    assert all(len(a.data) <= wire.MOST_BYTES for a in node.take(20) if not isinstance(a, Write))
+
+
+def test_the_largest_document_and_most_lives_fit_a_datagram():
+    names = [f"{n}" * 20 for n in range(9)]
+    text = "x" * 500
+    while True:
+        document = Document(1 << 40, tuple(names[:5]), tuple(names[1:6]), {"w": text})
+        try:
+            data = doc.encode(document)
+        except doc.TooLarge:
+            break
+        text += "x"
+    data = data if len(data) <= doc.MOST_BYTES else data[:doc.MOST_BYTES]
+    ballot = (1 << 40, names[0] + "#" + "9" * 15)
+    lives = {name: 1 << 40 for name in names[:MOST_LIVES]}
+    for body in (wire.Known(1 << 40, True, 1 << 40, ballot, ballot, data, lives),
+                 wire.Accept(ballot, data, tuple((n, 1 << 40) for n in names[:6]))):
+        assert len(wire.write("f" * 20, names[0], 1 << 47, 1 << 40, body, [b"x" * 300])) <= wire.MOST_BYTES
+
+
+# Who is there
+
+def test_a_dead_member_is_known_soon_and_a_slow_one_is_not_taken_for_dead():
+    told = detection(Plan(20, 0.1, 3), 4)
+    assert told["p99_ms"] < 3000 and told["p50_ms"] > 1500
+    told = calm(Plan(20, 0.1, 3), 30, stop_us=2_000_000)
+    assert told["false_deaths"] == 0 and told["suspected"] > 0
+
+
+def test_the_cost_of_a_member_does_not_grow_with_the_fleet():
+    small, large = (calm(Plan(n, 0.0, 1), 4) for n in (10, 80))
+    assert large["datagrams_s"] < 1.2 * small["datagrams_s"] and large["bytes_s"] < 1.4 * small["bytes_s"]
+
+
+@pytest.mark.parametrize(("incarnation", "state", "known"), [
+    (5, ALIVE, (DEAD, 7)), (7, ALIVE, (DEAD, 7)), (8, ALIVE, (ALIVE, 8))])
+def test_of_two_incarnations_the_later_prevails(incarnation, state, known):
+    node = started()
+    gone = wire.News("b", DEAD, 7, "127.0.0.1:7002", "z", "", "c")
+    node.datagram(frame(sender="c", news=[gone]), 10)
+    node.datagram(frame(sender="b", incarnation=incarnation), 20)
+    peer = node.swim.peers["b"]
+    assert (peer.state, peer.incarnation) == known
+    assert (node.swim.dropped["old incarnation"] == 1) is (incarnation < 7)
+
+
+def test_a_name_may_come_back_at_another_address_but_not_a_configured_one():
+    node = started()
+    for incarnation, address in ((3, "127.0.0.1:8001"), (4, "127.0.0.1:8002"), (2, "127.0.0.1:8003")):
+        news = [wire.News(name, ALIVE, incarnation, address, "z", "") for name in ("new", "b")]
+        node.datagram(frame(sender="c", news=news), 10)
+    assert node.swim.address("new") == "127.0.0.1:8002" and node.swim.address("b") == "127.0.0.1:7002"
+
+
+def test_thousand_names_that_come_and_go_leave_nothing_behind():
+    node, sizes = started(), []
+    for n in range(1000):
+        now = n * 1_000_000
+        for state in (ALIVE, DEAD):
+            node.datagram(frame(sender="c", news=[wire.News(f"x{n}", state, 1, "127.0.0.1:9", "", "")]), now)
+        for at in range(now, now + 1_000_000, 80_000):
+            node.tick(at)
+            node.take(at)
+        sizes.append(sum(map(len, (node.swim.peers, node.swim.told, node.swim.packed, node.swim.relays,
+                                   node.swim.probes, node.swim.suspects, node.register.heard))))
+    assert max(sizes[500:]) <= max(sizes[200:400]) + 5 and max(sizes) < 400
+    for n in range(2 * MOST_RELAYS):
+        node.datagram(frame(sender="c", body=wire.PingFor(n, "b")), now)
+    assert len(node.swim.relays) <= MOST_RELAYS
+
+
+def test_one_that_hears_but_is_not_heard_is_dead_to_the_others_and_back_when_it_is_heard():
+    fleet = Fleet(Plan(6, 0.0, 2))
+    fleet.run(2_000_000)
+    fleet.passes = lambda a, b: a != 3
+    fleet.run(8_000_000)
+    assert [n.swim.peers["c3"].state for m, n in enumerate(fleet.nodes) if m != 3] == [DEAD] * 5
+    fleet.passes = lambda a, b: True
+    fleet.run(14_000_000)
+    assert all(p.state == ALIVE for n in fleet.nodes for p in n.swim.peers.values())
+
+
+def test_a_member_that_stood_still_blames_nobody_on_waking():
+    fleet = Fleet(Plan(6, 0.0, 2))
+    fleet.run(2_000_000)
+    fleet.heard.clear()
+    fleet.stop(2, 1_900_000)
+    fleet.run(8_000_000)
+    assert not [row for row in fleet.heard if row[1] == "c2" and row[3] in ("suspect", "dead")]
+
+
+def test_nothing_is_said_before_the_incarnation_is_on_disk_and_none_is_used_twice():
+    node = Node(members(), Stored(), False, 1)
+    first = node.take(0)
+    assert [type(a) for a in first] == [Write]
+    node.written(first[0], False, 0)  # the disk says no: once more, a second later
+    node.tick(1_000_000)
+    assert not node.started and [type(a) for a in node.take(1_000_000)] == [Write]
+    node.written(first[0], True, 0)
+    assert node.started
+    stored = msgspec.msgpack.decode(first[0].state, type=Stored)
+    assert Node(members(), stored, True, 1).swim.me.incarnation > node.swim.me.incarnation + 500
+    emptied = [Node(members(), Stored(), False, seed).register.name for seed in range(20)]
+    assert len(set(emptied)) == 20  # a folder that was emptied begins where it never was
+
+
+# The register
+
+def outcomes(fleet, rows, n, change):
+    node = fleet.nodes[n]
+    node.propose(change, fleet.now, rows.append)
+    fleet._pump(n)
+
+
+def test_two_proposers_in_each_others_way_get_done():
+    fleet, rows = Fleet(Plan(5, 0.1, 4)), []
+    fleet.run(3_000_000)
+    for turn in range(20):
+        for n in range(5):
+            outcomes(fleet, rows, n, say(f"w{n}", str(turn)))
+    fleet.run(30_000_000)
+    assert [r.state for r in rows] == ["done"] * 100 and sorted(r.made for r in rows) == list(range(1, 101))
+
+
+@pytest.mark.parametrize("folders", ["kept", "one emptied"])
+def test_all_are_killed_and_start_in_any_order(folders):
+    fleet, rows = Fleet(Plan(3, 0.0, 5)), []
+    fleet.run(2_000_000)
+    outcomes(fleet, rows, 0, say("w", "kept"))
+    fleet.run(3_000_000)
+    for n in range(3):
+        fleet.kill(n)
+    if folders != "kept":
+        fleet.disks[2] = b""
+    for n in (2, 0, 1):
+        fleet.run(fleet.now + 1_000_000)
+        fleet.start(n)
+    fleet.run(fleet.now + 5_000_000)
+    # Two that remember are a majority; the third comes back by them alone, which takes both to vote.
+    outcomes(fleet, rows, 2, lambda ticket, document: None)
+    fleet.run(fleet.now + 5_000_000)
+    assert rows[1].document.words == {"w": "kept"}
+    assert [n.register.voter.voting for n in fleet.nodes] == [True] * 3
+
+
+def test_a_split_without_a_majority_changes_nothing_and_heals():
+    fleet, rows = Fleet(Plan(9, 0.0, 6)), []
+    fleet.run(3_000_000)
+    groups = [0, 1, 2, 0, 1, 2, 0, 1, 2]  # the five voters lie two, two and one
+    fleet.passes = lambda a, b: groups[a] == groups[b]
+    for n in range(9):
+        outcomes(fleet, rows, n, say("w", str(n)))
+    fleet.run(16_000_000)
+    assert len(rows) == 9 and {r.state for r in rows} <= {"refused", "unknown"}
+    fleet.passes = lambda a, b: True
+    outcomes(fleet, rows, 4, say("w", "healed"))
+    fleet.run(24_000_000)
+    assert rows[-1].state == "done" and {n.register.document.version for n in fleet.nodes} == {
+        rows[-1].document.version}
+    assert all(p.state == ALIVE for n in fleet.nodes for p in n.swim.peers.values())
+
+
+def test_a_voter_is_replaced_while_the_fleet_works():
+    fleet, rows = Fleet(Plan(4, 0.0, 7)), []
+    fleet.run(2_000_000)
+    assert [n.register.voter.voting for n in fleet.nodes] == [True, True, True, False]
+    fleet.kill(1)
+    outcomes(fleet, rows, 0, replace_voter("c1", "c3"))
+    outcomes(fleet, rows, 0, say("w", "meanwhile"))
+    fleet.run(8_000_000)
+    document = fleet.nodes[0].register.document
+    assert [r.state for r in rows] == ["done", "done"] and document.former == ()
+    assert set(document.voters) == {"c0", "c2", "c3"} and fleet.nodes[3].register.voter.voting
+    fleet.kill(2)  # the two others carry it
+    outcomes(fleet, rows, 0, say("w", "after"))
+    fleet.run(12_000_000)
+    assert rows[-1].state == "done"
+
+
+def test_a_disk_that_says_no_means_no_answer_but_no_end():
+    node = started(voters=("a",))
+    node.tick(0)
+    rows = []
+    node.propose(say("w", "x"), 0, rows.append)
+    for at in range(0, 3_000_000, 50_000):
+        node.tick(at)
+        for action in node.take(at):
+            if isinstance(action, Write):
+                node.written(action, at > 1_500_000, at)
+        assert not rows or at > 1_500_000
+    assert [r.state for r in rows] == ["done"]
+
+
+# Leases
+
+@pytest.mark.parametrize(("pause_us", "holds"), [(100_000, True), (980_000, True), (995_000, False),
+                                                 (9_000_000, False)])
+def test_a_lease_is_checked_by_elapsed_time_where_it_is_used(pause_us, holds):
+    keeper = Keeper("duty", "a#1", 1_000_000, 0.01)
+    ticket, change = keeper.tick(0, Document(0, ("a",)))
+    taken = change(Document(0, ("a",)))
+    keeper.ended(Outcome(ticket, "done", taken), 50_000)
+    assert bool(keeper.held(pause_us)) is holds  # counted from before it asked, and short by the drift
+
+
+@pytest.mark.parametrize(("waited_us", "takes"), [(990_000, False), (1_000_000, False), (1_010_002, True)])
+def test_a_lease_is_taken_over_only_after_its_whole_time_and_drift(waited_us, takes):
+    keeper = Keeper("duty", "b#1", 1_000_000, 0.01)
+    held = Document(3, ("a",), leases={"duty": Lease("a#1", 4, 2, 1_000_000)})
+    assert keeper.tick(500, held) is None
+    asked = keeper.tick(500 + waited_us, held)
+    assert (asked is not None) is takes
+    if asked:
+        assert asked[1](held).leases["duty"] == Lease("b#1", 5, 0, 1_000_000)
+        renewed = Document(4, ("a",), leases={"duty": Lease("a#1", 4, 3, 1_000_000)})
+        assert asked[1](renewed) is None  # it waited for another renewal
+
+
+# The explorer
+
+# Each fault with the members and the seed of a schedule that shows it.
+FOUND = {}
+
+
+def test_every_planted_fault_has_its_schedule():
+    assert set(FOUND) == set(PLANTED)
+
+
+@pytest.mark.parametrize(("name", "at"), FOUND.items())
+def test_each_guard_taken_away_is_found(name, at):
+    count, seed = at
+    assert explore.run(explore.schedule(seed), count, seed, planted(name))
+    assert not explore.run(explore.schedule(seed), count, seed)
+
+
+def test_a_found_schedule_is_shrunk_and_still_fails():
+    _, found = explore.explore(500, 0, 3, planted("accepts-anything"))
+    short = explore.shrink(found[0], 3, planted("accepts-anything"))
+    assert len(short.choices) < len(found[0].choices) / 3
+    assert explore.run(short.choices, 3, short.seed, planted("accepts-anything")) == short.violation
+
+
+@pytest.mark.parametrize("count", [3, 4, 5])
+def test_random_schedules_keep_the_promises(count):
+    first = random.Random(count).randrange(10**6)
+    assert explore.explore(400, first, count)[1] == []
+
+
+def test_every_schedule_up_to_a_depth_keeps_them():
+    schedules, states, said = explore.every(3)
+    assert states > 500 and schedules > states and not said
