--- a/hopmill/cli/app.py
+++ b/hopmill/cli/app.py
@@ -125,14 +125,15 @@
 
 
 @app.command(epilog="Example: hopmill trial storm --seed 1-5")
-def trial(scenario: Annotated[str, typer.Argument(help="One that comes along, by name, or a TOML file.")],
+def trial(scenario: Annotated[str, typer.Argument(help="By name, or a TOML file; or all of them.")],
           couriers: Annotated[int, typer.Option(min=0, max=200, help="0: drawn by the seed.")] = 0,
           seed: Annotated[str, typer.Option(help="As 1-20 or 3,5,9.")] = "1",
           history: Annotated[Path | None, typer.Option(help="Folder for histories and logs.")] = None,
+          at_once: Annotated[int, typer.Option(min=1, max=16, help="Trials side by side.")] = 1,
           as_json: JsonOption = True) -> None:
     """Many couriers as processes, a load, and faults between them; a line a seed. A violation: exit 1."""
     from hopmill.cli.trial import trial as run
-    raise typer.Exit(run(scenario, couriers, seed, history))
+    raise typer.Exit(run(scenario, couriers, seed, history, at_once))
 
 
 @journal_app.command("show", epilog="Example: hopmill journal show /var/lib/hopmill")
--- a/hopmill/lab/members.py
+++ b/hopmill/lab/members.py
@@ -169,10 +169,11 @@
             "all_know_p50_ms": whole[len(whole) // 2] // 1000, "all_know_worst_ms": whole[-1] // 1000}
 
 
-def calm(plan: Plan, seconds: float, stop_us: int = 0, every_us: int = 10_000_000) -> dict[str, Any]:
+def calm(plan: Plan, seconds: float, stop_us: int = 0, every_us: int = 10_000_000,
+         after_us: int = 3_000_000) -> dict[str, Any]:
     """Nobody dies; one member is stopped for stop_us in each every_us. What is said of anybody, the cost."""
     fleet = Fleet(plan)
-    fleet.run(3_000_000)
+    fleet.run(after_us)
     fleet.heard.clear()
     fleet.datagrams = fleet.bytes = 0
     began, until = fleet.now, fleet.now + int(seconds * 1e6)
--- a/hopmill/trial/couriers.py
+++ b/hopmill/trial/couriers.py
@@ -19,7 +19,7 @@
 from hopmill.net.peers import ANCHOR, STATE
 from hopmill.standin.courier import CourierProcess, free_port
 from hopmill.standin.server import HOST
-from hopmill.trial.relay import Relay
+from hopmill.trial.relay import THERE, Relay
 
 LEASE = "duty"
 ZONES = 3
@@ -28,16 +28,21 @@
 UPGRADE_S = 8.0
 
 
-def free_udp_port() -> int:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+def free_udp_ports(count: int) -> list[int]:
+    """All different."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+            sock.bind((THERE, 0))
+            ports.append(sock.getsockname()[1])
+        return ports
 
 
 def members_toml(number: int, count: int, voters: int, relay: Relay) -> str:
     """Its own address is its own; every other is reached through the relay."""
     names = ", ".join(f'"c{n}"' for n in range(voters))
-    rows = [f'[members]\nfleet = "trial"\nid = "c{number}"\naddress = "{HOST}:{relay.inner[number]}"\n'
+    rows = [f'[members]\nfleet = "trial"\nid = "c{number}"\naddress = "{THERE}:{relay.inner[number]}"\n'
             f'zone = "z{number % ZONES}"\nregion = "r"\nvoters = [{names}]\nleases = ["{LEASE}"]\n']
     rows += [f'[[members.others]]\nid = "c{n}"\naddress = "{HOST}:{relay.ports[n]}"\n'
              f'zone = "z{n % ZONES}"\nregion = "r"\n' for n in range(count) if n != number]
@@ -50,6 +55,7 @@
     def __init__(self, number: int, folder: Path, text: str, clock_s: float) -> None:
         """clock_s: how far its wall clock is off, always."""
         super().__init__(f"c{number}", folder, text)
+        self.door = free_port(THERE)
         # The trial holds the clients' socket, as the platform does, so that a process can take over.
         self.listening = socket.create_server((HOST, self.port), backlog=512)
         self.clock_s, self.disk = clock_s, folder / f"c{number}.disk"
@@ -63,13 +69,13 @@
         fd = self.listening.fileno()
         return await super().launch("hopmill.trial.process", (fd,), LB_LISTEN_FD=str(fd),
                                     HOPMILL_TRIAL_CLOCK_S=str(self.clock_s),
-                                    HOPMILL_TRIAL_DISK=str(self.disk), LB_OPERATOR=f"{HOST}:{self.door}")
+                                    HOPMILL_TRIAL_DISK=str(self.disk), LB_OPERATOR=f"{THERE}:{self.door}")
 
     async def upgrade(self) -> bool:
         """A second process takes over from the first. False if it did not, and the first goes on."""
         former, former_door = self.process, self.door
         assert former is not None
-        self.door = free_port()
+        self.door = free_port(THERE)
         self.process = await self.launch()
         until = time.monotonic() + UPGRADE_S
         while time.monotonic() < until and self.process.returncode is None:
@@ -131,7 +137,7 @@
         """(status, body) of its door; (0, {}) where nobody answers in time."""
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError, ValueError, IndexError):
             async with asyncio.timeout(PATIENCE_S):
-                reader, writer = await asyncio.open_connection(HOST, self.door)
+                reader, writer = await asyncio.open_connection(THERE, self.door)
                 try:
                     writer.write(f"{method} {path} HTTP/1.1\r\nHost: d\r\nContent-Length: 0\r\n\r\n".encode())
                     data = await reader.read()
--- a/hopmill/trial/relay.py
+++ b/hopmill/trial/relay.py
@@ -9,6 +9,7 @@
 
 from hopmill.standin.server import HOST
 
+THERE = "127.0.0.2"  # where couriers hear: a port that is free there is taken by nobody else meanwhile
 AT_ONCE = 256
 BUFFER_BYTES = 1 << 20
 
@@ -58,7 +59,7 @@
 
     def _send(self, to: int, data: bytes) -> None:
         try:
-            self.socks[to].sendto(data, (HOST, self.inner[to]))
+            self.socks[to].sendto(data, (THERE, self.inner[to]))
         except OSError:  # nobody is there: a datagram that is lost
             self.dropped += 1
 
