--- a/hopmill/fleet/node.py
+++ b/hopmill/fleet/node.py
@@ -150,7 +150,8 @@
 
     # In and out
 
-    def datagram(self, data: bytes, now: int) -> None:
+    def datagram(self, data: bytes, now: int) -> bool:
+        """Whether `tick` has something to do at once; else it may wait for its time."""
         self.counts.received += 1
         try:
             frame, body, news = wire.read(data, self.s.fleet)
@@ -158,21 +159,22 @@
                 raise wire.Unreadable("incarnation")
         except wire.Unreadable as error:
             self.counts.dropped[str(error)] += 1
-            return
+            return False
         if not self.started:
-            return
+            return False
         self._catch_up(now)
         if frame.sender != self.s.id and not self.swim.heard(frame.sender, frame.incarnation, news, now):
-            return
-        if isinstance(body, (Ping, Ack, PingFor, Unheard)):
+            return False
+        about_members = isinstance(body, (Ping, Ack, PingFor, Unheard))
+        if about_members:
             self.swim.receive(frame.sender, body, now)
         else:
             try:
                 self.register.receive(frame.sender, body, now)
             except msgspec.DecodeError:  # the document in it
                 self.counts.dropped["unreadable"] += 1
-                return
-        self.register.newer(frame.sender, frame.version)
+                return False
+        return self.register.newer(frame.sender, frame.version) or not about_members
 
     def _catch_up(self, now: int) -> None:
         """This process stood still: what was silent meanwhile was not heard, so nobody is blamed for it."""
--- a/hopmill/fleet/register.py
+++ b/hopmill/fleet/register.py
@@ -81,10 +81,12 @@
         elif isinstance(body, Chosen):
             proposer.learn(doc.decode(body.document))
 
-    def newer(self, sender: str, version: int) -> None:
-        """Another member says that it knows this version."""
-        if version > self.document.version:
-            self.heard[sender] = version
+    def newer(self, sender: str, version: int) -> bool:
+        """Another member says that it knows this version. True if it is news."""
+        if version <= self.document.version:
+            return False
+        self.heard[sender] = version
+        return True
 
     def tick(self, now: int) -> int:
         """Everything that time brings. Returns when to be called again."""
--- a/hopmill/fleet/swim.py
+++ b/hopmill/fleet/swim.py
@@ -101,6 +101,7 @@
         self.changed: list[Changed] = []
         self.dropped: Counter[str] = Counter()
         self.leaving = False
+        self.size = 1  # members that are alive or suspected, this one included
 
     def start(self, now: int) -> None:
         self.next_probe = now + self.chance.randrange(self.period)
@@ -110,10 +111,6 @@
 
     # What is known
 
-    @property
-    def size(self) -> int:
-        return 1 + sum(p.state in (ALIVE, SUSPECT) for p in self.peers.values())
-
     def alive(self, name: str) -> bool:
         return name == self.me.id or (p := self.peers.get(name)) is not None and p.state in (ALIVE, SUSPECT)
 
@@ -168,6 +165,7 @@
 
     def _becomes(self, peer: Peer, state: int, incarnation: int, why: str, now: int) -> None:
         was, peer.state, peer.incarnation = peer.state, state, incarnation
+        self.size += (state <= SUSPECT) - (was <= SUSPECT)
         peer.by = {why} if state in (SUSPECT, DEAD) else set()
         self.suspects.discard(peer.id)
         if state == SUSPECT:
@@ -265,6 +263,7 @@
         self.probes[seq] = Probe(target, now)
 
     def _forget(self, name: str) -> None:
+        self.size -= self.peers[name].state <= SUSPECT
         for kept in (self.peers, self.told, self.packed):
             kept.pop(name, None)
         self.suspects.discard(name)
--- a/hopmill/net/peers.py
+++ b/hopmill/net/peers.py
@@ -160,7 +160,7 @@
     # In and out
 
     def _readable(self) -> None:
-        now = elapsed_us()
+        now, stirred = elapsed_us(), False
         for _ in range(AT_ONCE):
             try:
                 data = self.sock.recv(wire.MOST_BYTES + 1)
@@ -169,35 +169,44 @@
             except OSError:  # an earlier datagram found nobody: that is what members find out by themselves
                 continue
             try:
-                self.node.datagram(data, now)
+                stirred |= self.node.datagram(data, now)
             except Exception:
                 log.exception("fleet.failed")
-        self._pump()
+        if stirred or self.node.writes:
+            self._pump()
+        else:  # most are: they cost little
+            self._act(now)
 
     def _pump(self) -> None:
         """Whatever goes wrong here must not end the courier, nor this member's timers."""
         if not self.open:
             return
-        if self.timer:
-            self.timer.cancel()
         try:
             wait_us = self._carry_out(elapsed_us())
         except Exception:
             log.exception("fleet.failed")
             wait_us = FAILED_US
-        self.timer = self.loop.call_later(max(0.001, wait_us / 1e6), self._pump)
+        due = self.loop.time() + max(0.001, wait_us / 1e6)
+        if self.timer:
+            if self.loop.time() < self.timer.when() <= due:
+                return  # the one that is set comes first, and looks again
+            self.timer.cancel()
+        self.timer = self.loop.call_at(due, self._pump)
 
     def _carry_out(self, now: int) -> int:
         """Returns when to be called again, from now."""
         due = self.node.tick(now)
+        self._act(now)
+        self._tell(now)
+        return due - now
+
+    def _act(self, now: int) -> None:
         for action in self.node.take(now):
             if isinstance(action, Write):
                 self.waiting.append(action)
             else:
                 self._send(action.address, action.data)
         self._write()
-        self._tell(now)
-        return due - now
 
     def _send(self, address: str, data: bytes) -> None:
         host, _, port = address.rpartition(":")
--- a/hopmill/standin/ledger.py
+++ b/hopmill/standin/ledger.py
@@ -38,6 +38,9 @@
     def answered(self, ident: str, answer: str) -> None:
         self.entries[ident].answer = answer
 
+    def handed_to(self, ident: str, port: int) -> None:
+        """The courier at this port is given it."""
+
     def began(self, endpoint: str, idents: list[str]) -> None:
         """A call with these messages has reached an endpoint."""
 
--- a/hopmill/standin/load.py
+++ b/hopmill/standin/load.py
@@ -62,7 +62,9 @@
             self.count += 1
             ident = f"d{self.count:08x}"
             self.ledger.handed_in(ident, Entry(kind.cls, kind.unsafe, loop.time(), kind.aim_s, life))
-            said = await self._put(self.chance.choice(ports), ident, kind, partner, life)
+            port = self.chance.choice(ports)
+            self.ledger.handed_to(ident, port)
+            said = await self._put(port, ident, kind, partner, life)
             if said.startswith("+"):
                 self.ledger.answered(ident, "taken")
                 return
--- a/hopmill/trial/history.py
+++ b/hopmill/trial/history.py
@@ -40,6 +40,8 @@
     def __init__(self, history: History) -> None:
         super().__init__()
         self.history = history
+        self.names: dict[int, str] = {}  # of couriers, by their clients' port
+        self.given: dict[str, str] = {}  # message: the courier that has it, which alone delivers it
 
     def handed_in(self, ident: str, entry: Entry) -> None:
         super().handed_in(ident, entry)
@@ -49,8 +51,12 @@
         super().answered(ident, answer)
         self.history.add("load", "answer", message=ident, answer=answer)
 
+    def handed_to(self, ident: str, port: int) -> None:
+        self.given[ident] = self.names.get(port, "")
+
     def began(self, endpoint: str, idents: list[str]) -> None:
-        self.history.add(endpoint, "call", messages=idents)
+        courier = self.given.get(idents[0], "") if idents else ""
+        self.history.add(endpoint, "call", courier=courier, messages=idents)
 
     def noted(self, line: dict[str, str]) -> None:
         super().noted(line)
--- a/hopmill/trial/run.py
+++ b/hopmill/trial/run.py
@@ -91,6 +91,7 @@
                 n, self.ask.couriers, self.voters, self.relay)
             off = self.chance.uniform(-1, 1) * self.s.clocks_off_s
             self.couriers.append(Courier(n, self.folder, text, off))
+        self.ledger.names = {c.port: c.name for c in self.couriers}
         self.hand = Hand(self.couriers, self.relay, self.history)
         starting = asyncio.Semaphore(STARTING)
 
