Count on from the slots that the process before wrote, in an upgrade

Cause: a storage that had not read its file (Peers.__init__ in an upgrade) counted its writes from 1, so a kill after its first brought the former process's state back. Ruled out: the state handed over, which is newer than the file; two writes, for they replace both slots. Change: a storage reads the file before its first write; a state of a later version counts as none. Result: the test of a single write by a second storage fails without it in all three cases, passes with it.

--- a/hopmill/net/peers.py
+++ b/hopmill/net/peers.py
@@ -57,10 +57,11 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder, self.state, self.anchor = folder, folder / STATE, folder / ANCHOR
-        self.count = 0
+        self.count = -1  # of the latest write; not known before the file is read
 
     def load(self) -> tuple[Stored, bool]:
         """(what is there, whether it is what was last written here). OSError: it can't be read."""
+        self.count = 0
         try:
             data = self.state.read_bytes()
         except FileNotFoundError:
@@ -71,7 +72,11 @@
             return Stored(), False
         slot = max(slots, key=lambda s: s.count)
         self.count = slot.count
-        stored = msgspec.msgpack.decode(slot.state, type=Stored)
+        try:
+            stored = msgspec.msgpack.decode(slot.state, type=Stored)
+        except msgspec.DecodeError:  # of a later version
+            log.error("fleet.storage_unreadable", path=self.state)
+            return Stored(), False
         try:
             there = os.stat(self.anchor)
         except FileNotFoundError:
@@ -101,6 +106,8 @@
 
     def write(self, state: bytes) -> None:
         """On disk when it returns. OSError: the state before may still hold."""
+        if self.count < 0:  # after an upgrade: later than all that the process before wrote
+            self.load()
         there = os.stat(self.anchor)
         payload = msgspec.msgpack.encode(self.Slot(self.count + 1, there.st_ino, there.st_ctime_ns, state))
         data = HEAD.pack(len(payload), zlib.crc32(payload)) + payload
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -342,7 +342,7 @@
 
 # The explorer
 
-# Each fault with the members and the seed of a schedule that shows it, or the play that is written out for it.
+# Each fault with the members and the seed of a schedule that shows it, or the play that is written for it.
 FOUND = {
     "promises-anything": (3, 57), "accepts-anything": (3, 6), "trusts-a-copy": (3, 2295),
     "votes-at-once": (3, 404), "one-vote-is-enough": (3, 277), "any-value-will-do": (3, 60),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -163,6 +163,14 @@
     assert (got.ceiling, same) == expected
 
 
+@pytest.mark.parametrize("before", [1, 2, 3])
+def test_another_process_writes_later_than_all_before(tmp_path, before):
+    written(tmp_path, *range(1, before + 1))
+    peers.Storage(tmp_path).write(stored(9))  # as after an upgrade, which hands over the state, not the file
+    got, same = peers.Storage(tmp_path).load()
+    assert (got.ceiling, same) == (9, True)
+
+
 def test_the_disk_of_members_stays_within_what_is_set_aside(tmp_path):
     written(tmp_path, *range(1, 40))
     sizes = [-(-f.stat().st_size // 512) * 512 for f in tmp_path.iterdir()]
@@ -229,7 +237,13 @@
     assert after["leases"] == before["leases"] and after["leases"][0]["mine"]  # at once, and the same number
     assert after["members"][0]["incarnation"] == before["members"][0]["incarnation"]
     assert after["life"] == before["life"] and after["version"] >= before["version"]
-    assert (await changed(fleet, "/fleet/words/w/after"))["state"] == "done"
+    told = await changed(fleet, "/fleet/words/w/after")
+    assert told["state"] == "done"
+    await fleet.kill()  # what the second process wrote is later than all that the first had written
+    await fleet.outside()
+    await bounded(_holds(fleet, fence=2))
+    assert (await changed(fleet, "/fleet/read"))["words"] == {"w": "after"}
+    assert (await status(fleet))["members"][0]["incarnation"] > after["members"][0]["incarnation"]
 
 
 @courier
