Show that news come to the same in any order

Need: repeated, late and reordered news had no property of their own. Change and result: a hypothesis test over lists of news, applied once in order and twice in another, and the count of members checked against the table.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -144,6 +144,22 @@
     assert (node.swim.dropped["old incarnation"] == 1) is (incarnation < 7)
 
 
+@given(st.lists(st.tuples(st.sampled_from(["b", "c", "new"]), st.integers(1, 4), st.integers(ALIVE, LEFT)),
+                max_size=12), st.randoms())
+@settings(max_examples=100, deadline=None)
+def test_news_twice_late_or_out_of_order_come_to_the_same(rows, chance):
+    seen = []
+    for order in (rows, chance.sample(rows + rows, 2 * len(rows))):
+        node = started()
+        for name in ("b", "c", "new"):
+            node.datagram(frame(sender="c", news=[wire.News(name, ALIVE, 1, "127.0.0.1:9", "", "")]), 1)
+        for name, incarnation, state in order:
+            node.swim._news(wire.News(name, state, incarnation, "127.0.0.1:9", "", "", "c"), 10, "c")
+        seen.append({p.id: (p.incarnation, p.state) for p in node.swim.peers.values()})
+        assert node.swim.size == 1 + sum(state <= 1 for _, state in seen[-1].values())
+    assert seen[0] == seen[1]
+
+
 def test_a_name_may_come_back_at_another_address_but_not_a_configured_one():
     node = started()
     for incarnation, address in ((3, "127.0.0.1:8001"), (4, "127.0.0.1:8002"), (2, "127.0.0.1:8003")):
