--- a/hopmill/fleet/settings.py
+++ b/hopmill/fleet/settings.py
@@ -40,7 +40,7 @@
     voters: tuple[Id, ...]  # of a new fleet; from then on the register's document names them
     leases: tuple[Id, ...] = ()  # that this courier tries to hold
     period_ms: Positive = 100.0  # from one look at another member to the next
-    probe_ms: Positive = 220.0  # without an answer for so long, a member is suspected
+    probe_ms: Positive = 180.0  # without an answer for so long, a member is suspected
     patience_ms: Positive = 2100.0  # suspected for so long, it is taken for dead
     lease_ms: Positive = 3000.0
     drift: Drift = 0.01  # two machines' elapsed clocks run apart by at most this share
