--- a/hopmill/trial/relay.py
+++ b/hopmill/trial/relay.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import socket
 from collections import Counter
 
 from hopmill.standin.server import HOST
 
-THERE = "127.0.0.2"  # where couriers hear: a port that is free there is taken by nobody else meanwhile
+# Where couriers hear: a port that is free there is taken by nobody else meanwhile, nor by another trial.
+THERE = f"127.{2 + os.getpid() // 250 % 250}.{os.getpid() % 250}.2"
 AT_ONCE = 256
 BUFFER_BYTES = 1 << 20
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -240,6 +240,8 @@
     assert node.started
     stored = msgspec.msgpack.decode(first[0].state, type=Stored)
     assert Node(members(), stored, True, 1).swim.me.incarnation > node.swim.me.incarnation + 500
+    copied = [Node(members(), stored, False, seed).register.name for seed in range(20)]
+    assert len(set(copied)) == 20  # nor does a copy's next number tell what was used since
     emptied = [Node(members(), Stored(), False, seed).register.name for seed in range(20)]
     assert len(set(emptied)) == 20  # a folder that was emptied begins where it never was
 
