--- a/hopmill/fleet/node.py
+++ b/hopmill/fleet/node.py
@@ -73,7 +73,7 @@
         self.ceiling = stored.ceiling
         life = carried["incarnation"] if carried else stored.ceiling + 1
         if not carried and not same_folder:
-            # What it used since is not in this folder: from a place where it has never been, not from a copy's.
+            # What it used since is not in this folder, nor in a copy: from a place where it has never been.
             life = self.chance.randrange(FRESH, LARGEST >> 1)
         self.wanted = max(life, self.ceiling if carried else 0)  # the ceiling asked for
         self.counts = Counts()
