Add policy changes that take hold everywhere or nowhere, off without [members.policy]

Each courier read its own file on SIGHUP, so half a fleet could go by the old policy. Off, the module's actions are what they were (one test of its settings more to come).

--- a/hopmill/cli/app.py
+++ b/hopmill/cli/app.py
@@ -175,7 +175,9 @@
 
 
 def _add_fleet() -> None:
+    from hopmill.cli import policy  # its commands are the fleet's
     from hopmill.cli.fleet import fleet
+    assert policy.fleet is fleet
     app.add_typer(fleet, name="fleet")
 
 
--- a/hopmill/document.py
+++ b/hopmill/document.py
@@ -22,7 +22,8 @@
 from hopmill.logs import FORMATS, LEVELS, PARTS
 
 FORMAT = 1
-FROM_THE_FILE = ("name", "listen", "discovery", "operator", "seed", "limits", "log", "connections", "members")
+FROM_THE_FILE = ("name", "listen", "discovery", "operator", "seed", "limits", "log", "connections", "members",
+                 "left_out", "ceilings")
 Level = Literal["debug", "info", "warning", "error"]
 assert set(Level.__args__) == set(LEVELS) and FORMATS == ("line", "json")  # one list of each
 
@@ -131,6 +132,21 @@
     endpoints: tuple[Endpoint, ...] = ()
 
 
+class LeftOut(Strict):
+    """Nothing goes there, as if staff had left it out by hand."""
+
+    endpoints: tuple[Name, ...] = ()
+    zones: tuple[Name, ...] = ()
+
+
+class Ceiling(Strict):
+    """What one partner gets at most. 0: no such ceiling."""
+
+    partner: PartnerNumber
+    window: Annotated[int, msgspec.Meta(ge=0)] = 0  # calls of one courier at once
+    rate_per_s: NotNegative = 0.0  # calls of all couriers together
+
+
 class Document(Strict, kw_only=True):
     """All that a courier is told."""
 
@@ -161,6 +177,8 @@
     report_fields: tuple[str, ...] = ()
     rates_listed: bool = False
     partners: tuple[Partner, ...] = ()
+    left_out: LeftOut = LeftOut()
+    ceilings: tuple[Ceiling, ...] = ()
     members: Members | None = None  # the fleet that this courier agrees with; none: it shares nothing
 
     def settings(self) -> i.Settings:
@@ -251,7 +269,8 @@
                          ([k.name for k in document.kinds], "kinds"),
                          ([t.name for t in document.tenants], "tenants"),
                          ([z.name for z in document.zones], "zones"),
-                         ([p.number for p in document.partners], "partners")):
+                         ([p.number for p in document.partners], "partners"),
+                         ([c.partner for c in document.ceilings], "ceilings")):
         for at, name in enumerate(names):
             if name in names[:at]:
                 yield f"{where}[{at}]: {name!r} is there twice"
--- /dev/null
+++ b/hopmill/explorer/policy_mutants.py
@@ -0,0 +1,138 @@
+"""Each safety guard of policy changes taken away, one at a time: the explorer has to find every one."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hopmill.fleet.actions import Send
+from hopmill.fleet.conductor import Conductor
+from hopmill.fleet.document import Document
+from hopmill.fleet.giver import Giver
+from hopmill.fleet.govern import Govern
+from hopmill.fleet.policy import Policy, Step, commit
+from hopmill.fleet.standing import FOREVER, Asked, Standing
+from hopmill.fleet.wire import Clear, Given, Hold
+
+
+class GivesBeforeItIsChosen(Giver):
+    def chosen_alike(self, known: Document, voted: Document) -> bool:
+        return True
+
+
+class GivesWhileClosing(Giver):
+    def minds_closing(self) -> bool:
+        return False
+
+
+class GivesToThoseNotReady(Giver):
+    def may_be_given(self, p: Policy, hold: Hold) -> bool:
+        return True
+
+
+class GivesAnyVersion(Giver):
+    def in_force(self, p: Policy, hold: Hold) -> bool:
+        return True
+
+
+class WaitsNoLeaseOut(Giver):
+    def waits_one_out(self) -> bool:
+        return False
+
+
+class WaitsTooShort(Giver):
+    def __init__(self, me: str, register: object, length_us: int, drift: float, last: bool,
+                 names: Iterable[str]) -> None:
+        super().__init__(me, register, length_us, -drift, last, names)  # type: ignore[arg-type]
+
+
+class AnyStopCounts(Giver):
+    def has_stopped(self, name: str, p: Policy) -> bool:
+        return name in self.stopped
+
+
+class ClearBeforeTheDisk(Giver):
+    def say_clear(self, sender: str, answer: Clear) -> None:
+        self.out.append(Send(sender, answer))
+
+
+class ForgetsWhoIsAlone(Giver):
+    def __init__(self, me: str, register: object, length_us: int, drift: float, last: bool,
+                 names: Iterable[str]) -> None:
+        super().__init__(me, register, length_us, drift, last, ())  # type: ignore[arg-type]
+
+
+class KeepsForEver(Standing):
+    def valid_until(self) -> int:
+        return FOREVER if super().valid_until() else 0
+
+
+class GoesOnWhileClosing(Standing):
+    """It says that it has stopped."""
+
+    def valid_until(self) -> int:
+        kept, self.quiet = getattr(self, "kept", 0), True
+        self.kept = super().valid_until() or kept
+        return self.kept if self.version == self.policy.version else 0
+
+    def stops(self) -> bool:
+        quiet, self.quiet = getattr(self, "quiet", False), False
+        return super().stops() and not quiet
+
+
+class CountsFromTheAnswer(Standing):
+    def given_by(self, sender: str, given: Given, now: int) -> None:
+        before = self.given.get(sender)
+        super().given_by(sender, given, now)
+        if self.given.get(sender) != before:
+            self.given[sender] = now
+
+
+class AnyAnswerCounts(Standing):
+    def answers(self, given: Given, asked: Asked) -> bool:
+        return True
+
+
+class AddsUpTwoRosters(Standing):
+    def same_voters(self, given: Given) -> bool:
+        self.roster = self.register.document.roster
+        return True
+
+
+class OneVoterIsClear(Conductor):
+    def all_clear(self, d: Document) -> bool:
+        return any(a.clear for a in self.answers.values())
+
+
+class CommitsAtAnyEpoch(Conductor):
+    @staticmethod
+    def commit(epoch: int) -> Step:
+        def step(ticket: str, document: Document) -> Document | None:
+            return commit(document.policy.epoch)(ticket, document)
+        return step
+
+
+class VotesWithoutTheText(Govern):
+    def _lacks(self, document: Document, sender: str) -> bool:
+        return False
+
+
+PLANTED = {
+    "gives-before-it-is-chosen": GivesBeforeItIsChosen, "gives-while-closing": GivesWhileClosing,
+    "gives-any-version": GivesAnyVersion, "waits-no-lease-out": WaitsNoLeaseOut,
+    "waits-too-short": WaitsTooShort, "any-stop-counts": AnyStopCounts,
+    "clear-before-the-disk": ClearBeforeTheDisk, "forgets-who-is-alone": ForgetsWhoIsAlone,
+    "lease-for-ever": KeepsForEver, "goes-on-while-closing": GoesOnWhileClosing,
+    "counts-from-answers": CountsFromTheAnswer, "any-answer-counts": AnyAnswerCounts,
+    "adds-up-two-rosters": AddsUpTwoRosters, "one-voter-is-clear": OneVoterIsClear,
+    "commits-at-any-epoch": CommitsAtAnyEpoch, "votes-without-the-text": VotesWithoutTheText,
+    "gives-to-those-not-ready": GivesToThoseNotReady,
+}
+
+
+def planted(name: str) -> type[Govern]:
+    """A member's part in the policy with the fault of this name. KeyError if there is none."""
+    fault = PLANTED[name]
+    for kind, base in (("standing", Standing), ("giver", Giver), ("conductor", Conductor)):
+        if issubclass(fault, base):
+            return type(fault.__name__, (Govern,), {f"{kind}_type": fault})
+    return fault  # type: ignore[return-value]
--- a/hopmill/fleet/document.py
+++ b/hopmill/fleet/document.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterable
 
 import msgspec
 
+from hopmill.fleet.policy import Policy
+
 MOST_BYTES = 750  # of it, encoded: with whatever goes along it has to fit a datagram
 RECENT = 8  # tickets of the last changes, so that one whose answer was lost is not done twice
 
@@ -28,6 +31,7 @@
     words: dict[str, str] = {}  # told by staff
     leases: dict[str, Lease] = {}
     recent: tuple[str, ...] = ()  # tickets
+    policy: Policy = Policy()
 
     def next(self, ticket: str, **changes: object) -> Document:
         recent = (*self.recent, ticket)[-RECENT:]
@@ -39,6 +43,11 @@
         sets = [self.voters, self.former] if self.former else [self.voters]
         return all(2 * len(there.intersection(each)) > len(each) for each in sets)
 
+    @property
+    def roster(self) -> int:
+        """A number for who votes: leases that were given by two different sets of voters don't add up."""
+        return zlib.crc32(repr((sorted(self.voters), sorted(self.former))).encode())
+
     @property
     def everyone(self) -> set[str]:
         return {*self.voters, *self.former}
--- a/hopmill/fleet/node.py
+++ b/hopmill/fleet/node.py
@@ -17,6 +17,7 @@
 from hopmill.fleet import wire
 from hopmill.fleet.actions import Persist, Send
 from hopmill.fleet.document import Document
+from hopmill.fleet.govern import KINDS, Govern
 from hopmill.fleet.proposer import Outcome
 from hopmill.fleet.register import Register
 from hopmill.fleet.settings import Members
@@ -52,6 +53,24 @@
     then: tuple[Send, ...] = ()
 
 
+@dataclass(frozen=True)
+class WriteText:
+    """Put this text on disk under its digest (fsync); then tell the node whether it is there."""
+
+    digest: bytes
+    text: bytes
+
+
+@dataclass(frozen=True)
+class DropTexts:
+    """These may go from the disk."""
+
+    digests: frozenset[bytes]
+
+
+Deed = Datagram | Write | WriteText | DropTexts
+
+
 @dataclass
 class Counts:
     """Since the start."""
@@ -66,9 +85,9 @@
     """Times are us of this member's elapsed clock. After each call, `take` gives what is to be done."""
 
     def __init__(self, members: Members, stored: Stored, same_folder: bool, seed: int,
-                 carried: dict[str, Any] | None = None) -> None:
+                 carried: dict[str, Any] | None = None, texts: dict[bytes, bytes] | None = None) -> None:
         """same_folder: it is where it was stored, no copy. seed: another with each start, from the system's
-        own chance. carried: by the process before, in an upgrade."""
+        own chance. carried: by the process before, in an upgrade. texts: those on disk, by digest."""
         self.s, self.chance = members, random.Random(seed)
         self.ceiling = stored.ceiling
         life = carried["incarnation"] if carried else stored.ceiling + 1
@@ -84,6 +103,11 @@
         for name in members.leases:
             self.register.keep(name, int(members.lease_ms * 1e3), members.drift)
         self.born = born
+        self.govern: Govern | None = None
+        if members.policy:
+            self.govern = Govern(members.id, born, self.register, self.chance, int(members.lease_ms * 1e3),
+                                 members.drift, members.policy.alone == "last",
+                                 [members.id, *(o.id for o in members.others)], self.swim.there, texts or {})
         self.started, self.due = False, 0
         self.writes: list[Write] = []
         self.ready: list[Datagram] = []
@@ -101,7 +125,9 @@
         return {"born": self.born, "incarnation": self.swim.me.incarnation, "ceiling": self.ceiling,
                 "round": r.proposer.round, "counted": r.counted, "document": doc.encode(r.document),
                 "state": self._state(self.ceiling), "voting": r.voter.voting,
-                "leases": {name: k.carry() for name, k in r.keepers.items()}}
+                "leases": {name: k.carry() for name, k in r.keepers.items()},
+                "policy": self.govern and self.govern.standing.carry(),
+                "texts": dict(self.govern.texts.held) if self.govern else {}}
 
     def _resume(self, carried: dict[str, Any]) -> None:
         r = self.register
@@ -111,6 +137,9 @@
         for name, values in carried["leases"].items():
             if name in r.keepers:
                 r.keepers[name].resume(values)
+        if self.govern and carried.get("policy"):
+            self.govern.texts.held |= carried["texts"]
+            self.govern.standing.resume(carried["policy"])
 
     # Incarnations
 
@@ -165,16 +194,19 @@
         self._catch_up(now)
         if frame.sender != self.s.id and not self.swim.heard(frame.sender, frame.incarnation, news, now):
             return False
-        about_members = isinstance(body, (Ping, Ack, PingFor, Unheard))
+        about_members, stirred = isinstance(body, (Ping, Ack, PingFor, Unheard)), False
         if about_members:
             self.swim.receive(frame.sender, body, now)
+        elif isinstance(body, KINDS):
+            stirred = self.govern is not None and self.govern.receive(frame.sender, body, now)
         else:
+            stirred = True
             try:
                 self.register.receive(frame.sender, body, now)
             except msgspec.DecodeError:  # the document in it
                 self.counts.dropped["unreadable"] += 1
                 return False
-        return self.register.newer(frame.sender, frame.version) or not about_members
+        return self.register.newer(frame.sender, frame.version) or stirred
 
     def _catch_up(self, now: int) -> None:
         """This process stood still: what was silent meanwhile was not heard, so nobody is blamed for it."""
@@ -193,22 +225,46 @@
             return now + AGAIN_US
         self._catch_up(now)
         self.due = min(self.swim.tick(now), self.register.tick(now))
+        if self.govern:
+            self.due = min(self.due, self.govern.tick(now))
         return self.due
 
-    def take(self, now: int) -> list[Datagram | Write]:
+    def take(self, now: int) -> list[Deed]:
         """What is to be done, in order."""
-        while actions := [*self.own, *self.register.take(now), *self.swim.out]:
+        texts: list[Deed] = []
+        while actions := [*self.own, *self.register.take(now), *self.swim.out, *self._governed(texts)]:
             self.own, self.swim.out = [], []
             for action in actions:
                 if isinstance(action, Persist):
                     self.writes.append(Write(self._state(self.wanted), self.wanted, action.then))
                 elif action.to == self.s.id:  # what is meant for this member itself is heard at once
-                    self.register.receive(self.s.id, action.body, now)
+                    self._own(action.body, now)
                 else:
                     self._send(action)
-        out, self.ready, self.writes = [*self.writes, *self.ready], [], []
+        out, self.ready, self.writes = [*texts, *self.writes, *self.ready], [], []
         return out
 
+    def _governed(self, texts: list[Deed]) -> list[Send]:
+        if self.govern is None:
+            return []
+        store = self.govern.texts
+        texts += [WriteText(digest, text) for digest, text in store.writes]
+        store.writes = []
+        if self.govern.dropped:
+            texts.append(DropTexts(frozenset(self.govern.dropped)))
+            self.govern.dropped = set()
+        return self.govern.take()
+
+    def _own(self, body: Any, now: int) -> None:
+        if not isinstance(body, KINDS):
+            self.register.receive(self.s.id, body, now)
+        elif self.govern:
+            self.govern.receive(self.s.id, body, now)
+
+    def text_written(self, digest: bytes, ok: bool) -> None:
+        if self.govern:
+            self.govern.texts.written(digest, ok)
+
     def _send(self, send: Send) -> None:
         if send.to == self.s.id:
             self.own.append(send)
@@ -259,6 +315,18 @@
                 "former": list(d.former), "votes": r.voter.voting, "words": d.words,
                 "leases": [{"name": name, "owner": lease.owner, "fence": lease.fence,
                             "mine": bool(self.held(name, now))} for name, lease in sorted(d.leases.items())],
+                "policy": self._policy_status(now) if self.govern else None,
                 "datagrams": {"sent": self.counts.sent, "sent_bytes": self.counts.sent_bytes,
                               "received": self.counts.received,
                               "dropped": dict(self.counts.dropped + self.swim.dropped)}}
+
+    def _policy_status(self, now: int) -> dict[str, Any]:
+        assert self.govern is not None
+        p, standing = self.register.document.policy, self.govern.standing
+        until = standing.valid_until()
+        return {"version": p.version, "epoch": p.epoch, "may_act": standing.held(now) >= 0,
+                "set_up_for": standing.version, "alone": "last" if standing.last else "hold",
+                "lease_ms": None if until - now > 1 << 60 else max(0, (until - now) // 1000),
+                "not_given": standing.why, "struck": list(p.struck), "waits": self.govern.conductor.waits(),
+                "change": p.change and {"id": p.change.id, "by": p.change.by, "closing": p.change.closing},
+                "ended": [{"id": e.id, "version": e.version, "why": e.why} for e in p.ended]}
--- a/hopmill/fleet/register.py
+++ b/hopmill/fleet/register.py
@@ -35,6 +35,8 @@
         self.fetched_at = -FETCH_US
         self.tickets: dict[str, Callable[[Outcome], None]] = {}
         self.counted = self.settle_at = 0
+        # Whether this member lacks a text that the document names: then it does not vote for it yet.
+        self.lacks: Callable[[Document, str], bool] = lambda document, sender: False
 
     @property
     def document(self) -> Document:
@@ -59,13 +61,15 @@
 
     def receive(self, sender: str, body: Body, now: int) -> None:
         """msgspec.DecodeError: the document in it is none; nothing of it is kept."""
+        document = None
         if isinstance(body, (Accept, Promise, Known, Chosen)) and body.document:
-            doc.decode(body.document)
+            document = doc.decode(body.document)
         voter, proposer = self.voter, self.proposer
         if isinstance(body, Prepare):
             voter.prepare(sender, body)
         elif isinstance(body, Accept):
-            voter.accept(sender, body)
+            if document is None or not self.lacks(document, sender):
+                voter.accept(sender, body)
         elif isinstance(body, Promise):
             proposer.promise(sender, body, now)
         elif isinstance(body, Accepted):
--- a/hopmill/fleet/settings.py
+++ b/hopmill/fleet/settings.py
@@ -5,7 +5,7 @@
 import re
 from collections import Counter
 from collections.abc import Iterator
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -28,6 +28,13 @@
     region: Place = ""
 
 
+class PolicyRule(Strict, kw_only=True):
+    """`[members.policy]`: the fleet has one policy. What a courier does that holds no lease on it has to be
+    said; docs/operations.md tells what each costs."""
+
+    alone: Literal["hold", "last"]
+
+
 class Members(Strict, kw_only=True):
     """This courier among the others. Times count elapsed time on this machine (CLOCK_BOOTTIME)."""
 
@@ -43,6 +50,7 @@
     probe_ms: Positive = 180.0  # without an answer for so long, a member is suspected
     patience_ms: Positive = 2250.0  # suspected for so long, it is taken for dead
     lease_ms: Positive = 3000.0
+    policy: PolicyRule | None = None  # none: each courier goes by its own file
     drift: Drift = 0.01  # two machines' elapsed clocks run apart by at most this share
 
 
--- a/hopmill/fleet/swim.py
+++ b/hopmill/fleet/swim.py
@@ -310,6 +310,10 @@
         elif body.seq in self.probes:
             self.probes[body.seq].unheard += 1
 
+    def there(self) -> list[str]:
+        """All others that are not known to be dead or gone."""
+        return [p.id for p in self.peers.values() if p.state in (ALIVE, SUSPECT) and p.incarnation > 0]
+
     def leave(self) -> None:
         """A planned end: some are told, and pass it on."""
         self.leaving, self.me.state = True, LEFT
--- a/hopmill/fleet/voter.py
+++ b/hopmill/fleet/voter.py
@@ -51,6 +51,7 @@
         if not self.same_folder:
             self._forget()
         self.asked_at = -ASK_US
+        self.called = False  # somebody took this member for a voter
         self.out: list[Action] = []
 
     def trusts(self, same_folder: bool) -> bool:
@@ -60,8 +61,9 @@
         return doc.decode(self.memory.document) if self.memory.document else self.initial
 
     def named(self, known: Document) -> bool:
-        """Whether the fleet counts on this voter, by its own memory or what is known to be chosen."""
-        return self.me in self._there(known)
+        """Whether the fleet counts on this voter, by its own memory, by what is known to be chosen, or by
+        having been asked: the change that makes it a voter may need its vote."""
+        return self.called or self.me in self._there(known)
 
     def _there(self, known: Document) -> set[str]:
         """Who votes, by what is known to be chosen and what was accepted here; else as a new fleet begins."""
@@ -79,11 +81,14 @@
             return now + ASK_US
         if now - self.asked_at >= ASK_US:
             self.asked_at = now
-            self.others = self._there(known) - {self.me}
+            self.others = self._there(known).union(*self._named_by_answers()) - {self.me}
             self.out += [Send(other, Ask(self.claims)) for other in sorted(self.others)]
             self._judge()
         return self.asked_at + ASK_US
 
+    def _named_by_answers(self) -> list[set[str]]:
+        return [doc.decode(k.document).everyone for k in self.answers.values() if k.document]
+
     def ask(self, sender: str, ask: Ask) -> None:
         """Another voter starts: what is said of its life is on disk before it is answered."""
         m = self.memory
@@ -106,6 +111,7 @@
         if self.voting or known.told != self.claims:
             return
         self.answers[sender] = known
+        self.others = self.others.union(*self._named_by_answers()) - {self.me}
         self._judge()
 
     def _forget(self) -> None:
@@ -162,6 +168,7 @@
     def prepare(self, sender: str, prepare: Prepare) -> None:
         m = self.memory
         if not self.voting:
+            self.called = True
             return
         if not self.may_promise(prepare.ballot):
             self.out.append(Send(sender, Refused(prepare.ballot, m.promised)))
--- a/hopmill/fleet/wire.py
+++ b/hopmill/fleet/wire.py
@@ -112,8 +112,71 @@
     document: bytes
 
 
+# The policy in force: who may act under it, and its texts
+
+
+class Hold(Part, tag="h"):
+    """I work under this version, or will: a lease on it. ready: for this change; refuses: it, and why."""
+
+    life: int
+    seq: int
+    version: int
+    last: bool  # alone, it goes on under the last version
+    ready: str = ""
+    refuses: str = ""
+
+
+class Given(Part, tag="g"):
+    """roster: who votes, as the voter knows it."""
+
+    seq: int
+    version: int
+    roster: int
+
+
+class NotGiven(Part, tag="x"):
+    seq: int
+    why: str
+
+
+class Stopped(Part, tag="r"):
+    """I have stopped for the closing at this epoch, and begin nothing before I know a later one."""
+
+    epoch: int
+
+
+class IsClear(Part, tag="C"):
+    """At this epoch: whom does the change wait for?"""
+
+    epoch: int
+
+
+class Clear(Part, tag="d"):
+    """clear: for nobody that this voter has given a lease. waits: some of them, and why."""
+
+    epoch: int
+    roster: int
+    clear: bool
+    waits: tuple[tuple[str, str], ...] = ()
+    refused: str = ""
+
+
+class WantText(Part, tag="t"):
+    """So many pieces of it, from this byte on."""
+
+    digest: bytes
+    at: int
+
+
+class Piece(Part, tag="u"):
+    digest: bytes
+    at: int
+    size: int  # of the whole
+    data: bytes
+
+
 Body = (Ping | Ack | PingFor | Unheard | Ask | Known | Prepare | Promise | Accept | Accepted | Refused | Fetch
-        | Chosen)
+        | Chosen | Hold | Given | NotGiven | Stopped | IsClear | Clear | WantText | Piece)
 
 
 class Frame(Part):
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, field, fields
 from enum import Enum
 
 
@@ -309,6 +309,24 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PolicySet:
+    """The policy from now on, whole: settings in place of those of the start, what is left out by it or by
+    hand, and ceilings by destination: (calls out at once, calls a second of all couriers), 0 for none."""
+
+    settings: Settings
+    endpoints_out: frozenset[int] = frozenset()
+    zones_out: frozenset[int] = frozenset()
+    ceilings: dict[int, tuple[int, float]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Whether to begin no call; messages that wait get their answers in time all the same."""
+
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CallCarried:
     """After an upgrade: a call of the process before is still out; the newest attempt of each message."""
@@ -320,7 +338,7 @@
 
 Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | ProbeEnded | MessageGone
          | TimerDue | Closing | PeerNote | SetByHand | Carried | CallCarried | Connections | WarmUp
-         | SetZoneByHand | ZoneCarried)
+         | SetZoneByHand | ZoneCarried | PolicySet | Hold)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -46,6 +46,7 @@
     options: Options = field(default_factory=lambda: Options())
     log: doc.Log = field(default_factory=lambda: doc.Log())
     members: Members | None = None  # the fleet that this courier agrees with, if any
+    document: Document | None = None  # the file, whole
 
 
 @dataclass(frozen=True)
@@ -97,7 +98,7 @@
         known=known, settings=settings, zones=tuple(z.name for z in document.zones),
         operator=parse_address(door, "LB_OPERATOR") if door else None,
         listen_fd=_listen_fd(env.get("LB_LISTEN_FD", "")), options=options(document), log=document.log,
-        members=document.members)
+        members=document.members, document=document)
 
 
 def options(document: Document) -> Options:
--- a/hopmill/net/handover.py
+++ b/hopmill/net/handover.py
@@ -108,6 +108,8 @@
             learned=host.courier.carry(), returning=self._zones_returning(),
             calls=host.calls.carry(cargo), unwritten=host.calls.unwritten(),
             door=host.door.carry(cargo), moved=host.moved_to)
+        if host.in_force:
+            host.in_force.turn_all_away()
         if host.peers:
             cargo.values["fleet"] = host.peers.freeze() | {"socket": cargo.place(host.peers.sock.fileno())}
         cargo.values["clients"] = host.clients.carry(cargo, max(1, room - len(cargo.fds)))
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -35,10 +35,18 @@
 # may hold a third: over that they can't ask at all, so idle connections are closed before there are so many.
 CLIENT_SHARE, IDLE_SHARE = 0.3, 0.2
 FLEET_BYTES = 16_384  # of the disk, for what members keep, the file that is half written included
+TEXTS_BYTES = 200_000  # and for the texts of policies: in force, under way, half written
 MEMORY_SHARE = 1 / 8  # of the memory is for requests that are half way: each may be as long as the longest
 log, messages_log, policy_log = logs.part("courier"), logs.part("messages"), logs.part("policy")
 
 
+def _fleet_bytes(config: Config) -> int:
+    """Of the disk, for what the fleet keeps there."""
+    if config.members is None:
+        return 0
+    return FLEET_BYTES + (TEXTS_BYTES if config.members.policy else 0)
+
+
 class Host:
     """One courier on real sockets."""
 
@@ -49,7 +57,8 @@
         self.upgrade = HandOver(self, owner, cargo)
         self.courier = Courier(self.s, config.seed)
         self.peers: Any = None  # hopmill/net/peers.py, where the configuration names a fleet
-        self.journal = Journal(owner.folder, config.disk_bytes - (FLEET_BYTES if config.members else 0),
+        self.in_force: Any = None  # hopmill/net/in_force.py, where something may differ from the file
+        self.journal = Journal(owner.folder, config.disk_bytes - _fleet_bytes(config),
                                max(c.key_window_us for c in self.s.classes) / 1e6)
         self.roster = Roster(self.s, config.zones, self.courier.may_serve)
         self.events: list[i.Event] = []
@@ -76,7 +85,7 @@
         self.due = 0  # when the next turn was to begin, in us of the monotonic clock
         self.moved_to: Address | None = None  # where discovery went with a changed configuration
         self.staff = Staff(self.courier, self.journal, self.roster, self.pool, self.clients, self.clock,
-                           self._act, lambda: self.clients.listening and not self.restart.closing_at)
+                           self.act, lambda: self.clients.listening and not self.restart.closing_at)
         self.door = Door(self.staff.routes(), config.sockets)
 
     def start(self) -> int:
@@ -90,6 +99,8 @@
         self.events += [i.SetZoneByHand(zone(name), True) for name in sorted(self.journal.zones_out)]
         self.watch.rev = known["rev"]
         self.set_options(self.config.options)
+        if self._may_differ():
+            self._go_by_policy()
         if carried:
             self.upgrade.resume()
         else:
@@ -297,6 +308,8 @@
     def _begin(self, items: list[Item]) -> bool:
         if any(n.number not in self.journal.held for n in items):
             return False
+        if self.in_force and not self.in_force.may_act():
+            return False
         try:
             self.journal.attempt([n.number for n in items], time.time())
         except OSError as error:
@@ -333,7 +346,7 @@
     def listed(self, change: dict[str, Any], form: i.ListForm | None = None) -> None:
         self.tell(self.roster.listed(change, form, self.pool))
 
-    def _act(self, event: i.Event) -> None:
+    def act(self, event: i.Event) -> None:
         """An operator's word holds from the answer on: its turn comes before that."""
         self.events.append(event)
         self.turn()
@@ -351,6 +364,21 @@
         sock = self.upgrade.sock(carried["socket"]) if carried else None
         self.peers = self.staff.peers = Peers(self.loop, self.config.members, self.upgrade.owner.folder,
                                               carried, sock)
+        if self.in_force:
+            self.in_force.join(self.peers)
+
+    def _may_differ(self) -> bool:
+        """From the settings of the start: by the fleet's policy, or by what the file leaves out or bounds."""
+        d, members = self.config.document, self.config.members
+        return d is not None and bool(members and members.policy or d.ceilings or d.left_out.endpoints
+                                      or d.left_out.zones)
+
+    def _go_by_policy(self) -> None:
+        """Only here is any of it read."""
+        from hopmill.net.in_force import InForce
+        assert self.config.document is not None
+        self.in_force = self.staff.in_force = InForce(self, self.config.document)
+        self.events += self.in_force.first()
 
     def set_options(self, options: Options) -> None:
         """Only what changes is told: while a part is off the module never hears of it."""
--- a/hopmill/net/intake.py
+++ b/hopmill/net/intake.py
@@ -54,6 +54,9 @@
         if self._known(put.id):
             reply.send(b"+OK\r\n")  # handed in again on a new connection: it is, or was, taken care of
             return
+        if host.in_force and not host.in_force.may_act():
+            host.in_force.wait(put, reply)
+            return
         if host.journal.open + len(self.arrived) >= host.s.max_held:
             reply.send(refusal(host.courier.come_back_us()))
             return
@@ -88,6 +91,11 @@
     def take(self, m: Held, replies: list[Reply]) -> None:
         """The module has let it in: it is recorded, then answered."""
         host, text = self.host, b"+OK\r\n"
+        if host.in_force and not host.in_force.may_act():
+            host.tell(i.MessageGone(m.number))  # the lease ended between the turn's two halves
+            for reply in replies:
+                reply.send(refusal(host.courier.come_back_us()))
+            return
         if not any(r.wanted for r in replies):
             host.tell(i.MessageGone(m.number))  # nobody heard that it was taken on
             return
--- a/hopmill/net/operator.py
+++ b/hopmill/net/operator.py
@@ -48,14 +48,21 @@
         self.status, self.headers = status, headers
 
 
+class WithBody:
+    """A handler that is given the body of the call before the words of its path."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+
+
 class Routes:
     """Methods and paths with their handlers; '*' in a path stands for any one word."""
 
-    def __init__(self, *rows: tuple[str, str, Handler]) -> None:
+    def __init__(self, *rows: tuple[str, str, Handler | WithBody]) -> None:
         self.rows = [(method, re.compile(re.escape(path).replace(r"\*", "([^/]+)")), handler)
                      for method, path, handler in rows]
 
-    def answer(self, method: str, target: str) -> tuple[int, Body]:
+    def answer(self, method: str, target: str, body: bytes = b"") -> tuple[int, Body]:
         try:
             path = urlsplit(target).path
         except ValueError:
@@ -66,7 +73,8 @@
             raise Refused(404, "no such path")
         for known, match, handler in found:
             if known == method:
-                return handler(*(unquote(word) for word in match.groups()))
+                words = [unquote(word) for word in match.groups()]
+                return handler.handler(body, *words) if isinstance(handler, WithBody) else handler(*words)
         raise Refused(405, "wrong method", Allow=", ".join(known for known, _, _ in found))
 
 
@@ -78,7 +86,7 @@
         self.door = door
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_CALL)
         self.request: h11.Request | None = None
-        self.heard, self.answered = bytearray(), False
+        self.heard, self.answered, self.body = bytearray(), False, bytearray()
         self.carried = heard
         self.transport: asyncio.Transport
         self.timer: asyncio.TimerHandle | None = None
@@ -124,6 +132,8 @@
             while (event := self.http.next_event()) is not h11.NEED_DATA:
                 if isinstance(event, h11.Request):
                     self.request = event
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
                 elif isinstance(event, h11.EndOfMessage) and self.request:
                     self._call(self.request.method.decode(), self.request.target.decode("latin-1"))
                     return
@@ -138,7 +148,7 @@
 
     def _call(self, method: str, target: str) -> None:
         try:
-            status, body = self.door.routes.answer(method, target)
+            status, body = self.door.routes.answer(method, target, bytes(self.body))
             headers = {}
         except Refused as error:
             status, body, headers = error.status, {"error": str(error)}, error.headers
--- a/hopmill/net/peers.py
+++ b/hopmill/net/peers.py
@@ -19,11 +19,11 @@
 from hopmill import logs
 from hopmill.fleet import wire
 from hopmill.fleet.document import Document
-from hopmill.fleet.node import Node, Stored, Write
+from hopmill.fleet.node import DropTexts, Node, Stored, Write, WriteText
 from hopmill.fleet.proposer import Outcome
 from hopmill.fleet.settings import Members, warnings
 
-STATE, ANCHOR = "fleet.state", "fleet.anchor"
+STATE, ANCHOR, TEXT = "fleet.state", "fleet.anchor", "fleet.text."
 SLOT_BYTES = 4096
 HEAD = struct.Struct(">II")  # bytes of a slot's payload, their crc32
 FAILED_US = 1_000_000  # after a fault of the program
@@ -93,16 +93,46 @@
         except msgspec.DecodeError:
             return None
 
+    def texts(self) -> dict[bytes, bytes]:
+        """Those on disk, by digest; whether they fit it is the reader's affair. One half written goes."""
+        found = {}
+        for path in self.folder.glob(TEXT + "*"):
+            try:
+                found[bytes.fromhex(path.name.removeprefix(TEXT))] = path.read_bytes()
+            except (OSError, ValueError):
+                path.unlink(missing_ok=True)
+        return found
+
+    def write_text(self, digest: bytes, text: bytes) -> None:
+        """On disk, under its name, when it returns."""
+        half = self.folder / f"{TEXT}half"
+        fd = os.open(half, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        try:
+            if os.write(fd, text) != len(text):
+                raise OSError("no room for a text of the fleet")
+            os.fdatasync(fd)
+        finally:
+            os.close(fd)
+        os.rename(half, self.folder / (TEXT + digest.hex()))
+        self._sync_folder()
+
+    def drop_texts(self, digests: frozenset[bytes]) -> None:
+        for digest in digests:
+            (self.folder / (TEXT + digest.hex())).unlink(missing_ok=True)
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
     def settle(self, same: bool) -> None:
         """A new anchor where the old one does not hold."""
         if not same:
             self.anchor.unlink(missing_ok=True)
             self.anchor.write_text(secrets.token_hex(16))
-            folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-            try:
-                os.fsync(folder)
-            finally:
-                os.close(folder)
+            self._sync_folder()
 
     def write(self, state: bytes) -> None:
         """On disk when it returns. OSError: the state before may still hold."""
@@ -137,7 +167,9 @@
         else:
             stored, same = self.storage.load()
             self.storage.settle(same)
-        self.node = Node(members, stored, same, secrets.randbits(64), carried)
+        self.node = Node(members, stored, same, secrets.randbits(64), carried,
+                         self.storage.texts() if members.policy else None)
+        self.look: Callable[[], None] = lambda: None  # whoever goes by the fleet's policy looks what is new
         self.sock = sock or self._bind()
         self.writer = ThreadPoolExecutor(1, "fleet-disk")
         self.writing: Future[None] | None = None
@@ -211,6 +243,12 @@
         for action in self.node.take(now):
             if isinstance(action, Write):
                 self.waiting.append(action)
+            elif isinstance(action, WriteText):
+                done = self.writer.submit(self.storage.write_text, action.digest, action.text)
+                done.add_done_callback(lambda done, digest=action.digest: self.loop.call_soon_threadsafe(
+                    self._text_written, digest, done) if self.open else None)
+            elif isinstance(action, DropTexts):
+                self.writer.submit(self.storage.drop_texts, action.digests)
             else:
                 self._send(action.address, action.data)
         self._write()
@@ -246,6 +284,12 @@
             self.node.written(write, error is None, elapsed_us())
         self._pump()
 
+    def _text_written(self, digest: bytes, done: Future[None]) -> None:
+        if error := done.exception():
+            log.error("fleet.not_written", error=error)
+        self.node.text_written(digest, error is None)
+        self._pump()
+
     # Logs
 
     def _tell(self, now: int) -> None:
@@ -261,6 +305,7 @@
             if fence != self.leases.get(name, 0):
                 self.leases[name] = fence
                 log.info("fleet.lease", lease=name, held=bool(fence), fence=fence or None)
+        self.look()
 
     # Staff
 
@@ -273,6 +318,11 @@
         self._pump()
         return ticket
 
+    def govern(self, act: Callable[[Any, int], Any]) -> None:
+        """Do this with the member's part in the fleet's policy, and carry out what comes of it."""
+        act(self.node.govern, elapsed_us())
+        self._pump()
+
     def held(self, lease: str) -> tuple[int, int]:
         """(the fencing number to act under, 0 if this courier may not act; when that was, in us elapsed)."""
         now = elapsed_us()
--- a/hopmill/net/staff.py
+++ b/hopmill/net/staff.py
@@ -28,6 +28,7 @@
         self.courier, self.journal, self.roster = courier, journal, roster
         self.pool, self.clients, self.clock, self.act, self.taking = pool, clients, clock, act, taking
         self.metrics: Any = None  # hopmill/net/metrics.py, while the door is open
+        self.in_force: Any = None  # hopmill/net/in_force.py, where something may differ from the file
         self.peers: Any = None  # hopmill/net/peers.py, where the configuration names a fleet
 
     def routes(self) -> Routes:
@@ -39,7 +40,7 @@
                       ("GET", "/lanes", self._lanes),
                       ("GET", "/connections", lambda: (200, self.pool.figures(self.roster.uid))),
                       ("GET", "/connections/*", self._connections),
-                      *fleet_routes(lambda: self.peers),
+                      *fleet_routes(lambda: self.peers, lambda: self.in_force),
                       ("GET", "/zones", lambda: (200, {"zones": self.zone_rows()})),
                       ("POST", "/zones/*/maint", lambda name: self._set_zone_by_hand(name, True)),
                       ("POST", "/zones/*/ready", lambda name: self._set_zone_by_hand(name, False)),
@@ -106,7 +107,8 @@
             return 404, {"error": "no such endpoint was ever listed"}
         if out is not (uid in self.journal.out_by_hand):
             self.journal.set_by_hand(uid, out)
-            self.act(i.SetByHand(self.roster.uids[uid], out))
+            if not (self.in_force and uid in self.in_force.left_out[0]):  # the policy in force does
+                self.act(i.SetByHand(self.roster.uids[uid], out))
         return 200, {"endpoint": uid, "out_by_hand": out}
 
     def _set_zone_by_hand(self, name: str, out: bool) -> Answer:
@@ -115,5 +117,6 @@
             return 404, {"error": "no such zone was ever named"}
         if out is not (name in self.journal.zones_out):
             self.journal.set_zone_by_hand(name, out)
-            self.act(i.SetZoneByHand(self.roster.zones[name], out))
+            if not (self.in_force and name in self.in_force.left_out[1]):
+                self.act(i.SetZoneByHand(self.roster.zones[name], out))
         return 200, {"zone": name, "out_by_hand": out}
--- a/hopmill/net/staff_fleet.py
+++ b/hopmill/net/staff_fleet.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from hopmill.net.operator import Handler
+from hopmill.net.operator import Handler, WithBody
+from hopmill.net.staff_policy import policy_routes
 
 Answer = tuple[int, dict[str, Any]]
 MOST_OUTCOMES = 256
@@ -79,9 +80,11 @@
         return (200, told) if told else (404, {"error": "no such change was begun here lately"})
 
 
-def fleet_routes(peers: Callable[[], Any]) -> list[tuple[str, str, Handler]]:
+def fleet_routes(peers: Callable[[], Any],
+                 in_force: Callable[[], Any]) -> list[tuple[str, str, Handler | WithBody]]:
     staff = FleetStaff(peers)
-    return [("GET", "/fleet", staff.status),
+    return [*policy_routes(peers, in_force),
+            ("GET", "/fleet", staff.status),
             ("POST", "/fleet/read", staff.read),
             ("GET", "/fleet/leases/*", staff.lease),
             ("GET", "/fleet/changes/*", staff.outcome),
--- /dev/null
+++ b/hopmill/overlay.py
@@ -0,0 +1,144 @@
+"""What a policy is: values for those fields of the configuration that may differ while a courier runs.
+
+It is kept flat, as {path: value}; a row of a list goes by its name: `tenants[gold].quota_per_s`. A patch is
+TOML in the configuration's own tables; `unset` names paths that go back to each courier's own file.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from hopmill import document as doc
+from hopmill.document import Document
+from hopmill.fields import ConfigError
+
+Flat = dict[str, Any]
+FIELDS = {  # tables, and what of them may differ
+    "retries": ("attempts", "longest_told_wait_ms"), "worth": ("over_share", "late", "refused_price"),
+    "returning": ("cold_share", "cold_ms", "fall_multiple", "fall_ms"), "left_out": ("endpoints", "zones"),
+    "": ("held",),
+}
+ROWS = {  # lists: what names a row, what of it may differ, whether there may be rows that no file has
+    "classes": ("name", ("worth", "late_share"), False), "tenants": ("name", ("share", "quota_per_s"), False),
+    "zones": ("name", ("fee",), False), "ceilings": ("partner", ("window", "rate_per_s"), True),
+}
+UNSET = "unset"
+ROW = re.compile(r"^(\w+)\[([^\]]+)\]\.(\w+)$")
+MOST_FIELDS = 2000
+
+
+def read_patch(raw: Any) -> tuple[Flat, tuple[str, ...]]:
+    """(values, paths that are unset) of a patch. ConfigError: one line with the first wrong path."""
+    if not isinstance(raw, dict):
+        raise ConfigError("the patch: must be a table")
+    unset = raw.get(UNSET, [])
+    if not isinstance(unset, list) or not all(isinstance(path, str) for path in unset):
+        raise ConfigError(f"{UNSET}: must be a list of paths")
+    flat: Flat = {}
+    for name, value in raw.items():
+        if name == UNSET:
+            continue
+        if name in ROWS:
+            flat |= _rows(name, value)
+        elif name in FIELDS and isinstance(value, dict):
+            for field, inner in value.items():
+                flat[_allowed(f"{name}.{field}")] = inner
+        else:
+            flat[_allowed(name)] = value
+    for path in unset:
+        _allowed(path)
+    if not flat and not unset:
+        raise ConfigError("the patch: changes nothing")
+    if len(flat) + len(unset) > MOST_FIELDS:
+        raise ConfigError(f"the patch: has over {MOST_FIELDS} fields")
+    return flat, tuple(unset)
+
+
+def _rows(name: str, rows: Any) -> Flat:
+    key, _, _ = ROWS[name]
+    flat: Flat = {}
+    if not isinstance(rows, list) or not all(isinstance(row, dict) and key in row for row in rows):
+        raise ConfigError(f"{name}: must be rows with a {key} each")
+    for row in rows:
+        for field, value in row.items():
+            if field != key:
+                flat[_allowed(f"{name}[{row[key]}].{field}")] = value
+    return flat
+
+
+def _allowed(path: str) -> str:
+    """ConfigError: no such field, or one that can't change while a courier runs."""
+    if found := ROW.match(path):
+        table, row, field = found.groups()
+        if table in ROWS and field in ROWS[table][1]:
+            return path
+        known = table in ROWS and field in _fields_of(table)
+    else:
+        table, _, field = path.rpartition(".")
+        if field in FIELDS.get(table, ()):
+            return path
+        known = path in doc.flat(_example()) or field in _fields_of(table)
+    raise ConfigError(f"{path}: " + ("can't change while couriers run" if known else "no such field"))
+
+
+def _fields_of(table: str) -> set[str]:
+    kinds = {"classes": doc.MessageClass, "tenants": doc.Tenant, "zones": doc.Zone, "ceilings": doc.Ceiling,
+             "kinds": doc.Kind, "": Document}
+    kind = kinds.get(table)
+    return {f.name for f in msgspec.structs.fields(kind)} if kind else set()
+
+
+def _example() -> Document:
+    return Document(classes=(doc.MessageClass(name="any", aim_ms=1.0, deadline_ms=1.0),))
+
+
+def merged(overlay: Flat, patch: Flat, unset: tuple[str, ...]) -> Flat:
+    return {path: value for path, value in (overlay | patch).items() if path not in unset}
+
+
+def apply(document: Document, overlay: Flat) -> Document:
+    """The document with these values in it. ConfigError: a line that names what does not fit."""
+    tree = msgspec.to_builtins(document)
+    for path, value in overlay.items():
+        _allowed(path)
+        found = ROW.match(path)
+        if found is None:
+            table, _, field = path.rpartition(".")
+            (tree[table] if table else tree)[field] = value
+            continue
+        table, name, field = found.groups()
+        key, _, may_add = ROWS[table]
+        row = next((r for r in tree[table] if str(r[key]) == name), None)
+        if row is None:
+            if not may_add:
+                raise ConfigError(f"{path}: this courier has no such row")
+            row = {key: int(name) if name.isdigit() else name}
+            tree[table] = [*tree[table], row]
+        row[field] = value
+    changed = doc.convert(tree)
+    for problem in doc.problems(changed):
+        raise ConfigError(problem)
+    return changed
+
+
+def disagreements(document: Document, overlay: Flat) -> Iterator[str]:
+    """Paths at which a courier's own file says something else; one that leaves a field out says nothing."""
+    own, blank = dict(_own(document)), dict(_own(_example()))
+    for path, value in overlay.items():
+        if path in own and own[path] != value and own[path] != blank.get(path):
+            yield path
+
+
+def _own(document: Document) -> Iterator[tuple[str, Any]]:
+    tree = msgspec.to_builtins(document)
+    for table, fields in FIELDS.items():
+        for field in fields:
+            yield f"{table}.{field}" if table else field, (tree[table] if table else tree)[field]
+    for table, (key, fields, _) in ROWS.items():
+        for row in tree[table]:
+            for field in fields:
+                yield f"{table}[{row[key]}].{field}", row[field]
--- a/hopmill/policy/courier.py
+++ b/hopmill/policy/courier.py
@@ -8,8 +8,8 @@
 
 from hopmill.interface import (
     Action, AttemptAnswering, AttemptEnded, CallCarried, Carried, CloseIdle, Closing, Effect, EndpointsListed,
-    EndpointState, Event, Fail, ListEntry, ListForm, MessageArrived, MessageGone, Refuse, Result, Send,
-    SetByHand, Settings, SetZoneByHand, Subscribe, WarmUp, ZoneCarried)
+    EndpointState, Event, Fail, Hold, ListEntry, ListForm, MessageArrived, MessageGone, PolicySet, Refuse,
+    Result, Send, SetByHand, Settings, SetZoneByHand, Subscribe, WarmUp, ZoneCarried)
 from hopmill.interface import Connections as ConnectionsTold
 from hopmill.policy.admission import Admission
 from hopmill.policy.circuit import Circuits
@@ -53,7 +53,7 @@
         self.gate = Gate(turn, self.book, self.pacing, self.circuits, self.timeouts, self.zones, self.tries)
         self.ranking = Ranking(turn, self.book, self.gate, self.worth, self.timeouts, self.connections,
                                self.zones)
-        self.seq = 0
+        self.seq, self.holding = 0, False
         self.expiries: list[tuple[int, int]] = []
 
     # Events
@@ -84,6 +84,10 @@
                 self._set_zone_by_hand(e)
             elif isinstance(e, ZoneCarried):
                 self.zones.back[e.zone] = e.since_us, e.until_us
+            elif isinstance(e, PolicySet):
+                self._set_policy(e)
+            elif isinstance(e, Hold):
+                self.holding = e.on
             elif isinstance(e, WarmUp):
                 self.connections.warm_up = e.on
             elif isinstance(e, Carried) and (ep := book.endpoints.get(e.endpoint)):
@@ -135,6 +139,19 @@
         state, share, why = self.zones.state(e.zone, self.turn.now)
         self.turn.log(f"zone {e.zone}: {state}, share {share:.2f}, {why}, {len(there)} endpoints")
 
+    def _set_policy(self, e: PolicySet) -> None:
+        """All of it in one event: no turn decides by half of one."""
+        for part in (self, self.turn, self.pacing, self.timeouts, self.circuits, self.connections, self.worth,
+                     self.admission, self.gate, self.ranking):
+            part.s = e.settings
+        self.tries = self.gate.tries = self.admission.tries = min(TRIES, e.settings.max_attempts)
+        self.zones.cold_share, self.zones.cold_us = e.settings.cold_share, max(1, e.settings.cold_us)
+        self.pacing.ceilings = e.ceilings
+        for endpoint in sorted(self.book.by_hand ^ e.endpoints_out):
+            self._set_by_hand(SetByHand(endpoint, endpoint in e.endpoints_out))
+        for zone in sorted(self.zones.out ^ e.zones_out):
+            self._set_zone_by_hand(SetZoneByHand(zone, zone in e.zones_out))
+
     # Upgrades
 
     def _carriers(self, ep: Endpoint) -> dict[str, tuple[object, ...]]:
@@ -335,7 +352,7 @@
     def _pump(self) -> None:
         """Send what the gate lets through, the most urgent first, while slots are free."""
         dests, pick = self.book.dests, self.ranking.pick
-        picks = {d.number: p for d in dests.values() if d.queue and (p := pick(d))}
+        picks = {d.number: p for d in dests.values() if d.queue and not self.holding and (p := pick(d))}
         while picks and self.book.out < self.s.slots:
             number = min(picks, key=lambda n: picks[n][:2])
             _, _, m, ep = picks.pop(number)
--- a/hopmill/policy/gate.py
+++ b/hopmill/policy/gate.py
@@ -32,8 +32,8 @@
 
     def free(self, ep: Endpoint, quick: bool = False) -> bool:
         """The lane's side: drain, wait, slots, windows, pace, circuit, recovery budget."""
-        lane, book, cap = ep.lane, self.book, self.pacing.cap
-        busy = book.out >= self.s.slots or lane.dest.out >= cap or lane.out >= int(lane.window)
+        lane, book, most = ep.lane, self.book, self.pacing.most_out(ep.lane.dest)
+        busy = book.out >= self.s.slots or lane.dest.out >= most or lane.out >= int(lane.window)
         if busy or not self.serves(ep):
             return False
         if self.turn.now < lane.wait_until:
--- a/hopmill/policy/pacing.py
+++ b/hopmill/policy/pacing.py
@@ -4,7 +4,7 @@
 
 import math
 
-from hopmill.policy.state import Lane
+from hopmill.policy.state import Destination, Lane
 from hopmill.policy.turn import Turn
 
 BASE_US = 100_000  # first ceiling of the jittered wait (the note's default)
@@ -25,12 +25,21 @@
         s = turn.s
         self.turn, self.s = turn, s
         self.cap = max(1, int(WINDOW_SHARE * s.slots))
-        self.burst = BURST_PRICED_S if s.refused_price else BURST_S
+        self.ceilings: dict[int, tuple[int, float]] = {}  # by destination, as the policy in force has them
         # Buckets that many couriers empty together refill together, seconds later where each has a call in
         # seconds: a call costs a token more or less by chance, so that they fall out of step.
         self.spread = max(0.0, 1 - s.slots / s.couriers)
         self.refused = [0.0] * len(s.kinds)  # as the lanes', over all calls to a kind
 
+    def most_out(self, dest: Destination) -> int:
+        """Calls at once."""
+        return min(self.cap, self.ceilings.get(dest.number, (0, 0.0))[0] or self.cap)
+
+    def _top(self, lane: Lane) -> float:
+        """This courier's part of what the policy lets a partner have a second; inf: all that it takes."""
+        rate = self.ceilings[lane.dest.number][1] if lane.dest.number in self.ceilings else 0.0
+        return rate / self.s.couriers / len(lane.dest.lanes) if rate else math.inf
+
     def listed(self, lane: Lane, rate_per_s: float) -> None:
         """The list names its rate."""
         if self.s.rates_listed and rate_per_s > 0 and lane.hint != rate_per_s:
@@ -47,19 +56,20 @@
         hears of a lane so seldom that answers alone left it down for as long as the limit was lowered."""
         since = self.turn.now - lane.cut_at
         calm = min(1.0, FLOOR + (1 - FLOOR) * since / CALM_US) if lane.steered else 0.0
-        return max(lane.rate, lane.listed * calm)
+        pace, top = max(lane.rate, lane.listed * calm), self._top(lane)
+        return pace if top == math.inf else min(pace or top, top)
 
     def fill(self, lane: Lane) -> float:
-        if not lane.rate:
+        if not lane.rate and self._top(lane) == math.inf:
             return 1.0
         if self.turn.now > lane.stamp:
-            rate = self.pace(lane)
+            rate, burst = self.pace(lane), BURST_PRICED_S if self.s.refused_price else BURST_S
             tokens = lane.tokens + rate * (self.turn.now - lane.stamp) / 1e6
-            lane.tokens, lane.stamp = min(tokens, max(1.0, rate * self.burst)), self.turn.now
+            lane.tokens, lane.stamp = min(tokens, max(1.0, rate * burst)), self.turn.now
         return lane.tokens
 
     def spend(self, lane: Lane) -> None:
-        if lane.rate:
+        if lane.rate or self._top(lane) < math.inf:
             lane.tokens -= 1.0 + self.turn.random.uniform(-self.spread, self.spread)
 
     def allows(self, lane: Lane) -> bool:
--- a/hopmill/serve.py
+++ b/hopmill/serve.py
@@ -49,6 +49,8 @@
         self.document = document
         configure_logs(document.log)
         self.host.set_options(options(document))
+        if self.host.in_force:
+            self.host.in_force.reloaded(document)
 
 
 def configure_logs(log: doc.Log) -> None:
