--- a/hopmill/cli/policy.py
+++ b/hopmill/cli/policy.py
@@ -76,6 +76,8 @@
 def propose(door: Door, file: Annotated[Path, typer.Argument(help="TOML, in the configuration's tables.")],
             if_version: IfVersion = -1, wait: Wait = 30.0, reason: Reason = "",
             dry_run: Annotated[bool, typer.Option("--dry-run", help="Only checked here.")] = False,
+            share: Annotated[float, typer.Option(help="Of the couriers, that go first, watched.")] = 1.0,
+            watch: Annotated[float, typer.Option(help="Seconds, before the rest follows.")] = 60.0,
             ident: Id = "", as_json: JsonOption = False) -> None:
     """A change of policy, in force at every courier or at none. Exit 0: in force, 1: nowhere, 3: unknown."""
     try:
@@ -83,8 +85,9 @@
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise fail(f"{file}: {error}", 1) from None
     ask = {"id": ident or secrets.token_hex(6), "patch": patch, "by": getpass.getuser(), "reason": reason,
-           "if_version": None if if_version < 0 else if_version, "dry_run": dry_run}
-    _propose(door, ask, wait, as_json)
+           "if_version": None if if_version < 0 else if_version, "dry_run": dry_run,
+           "share": share, "watch_s": watch}
+    _propose(door, ask, wait + (watch if share < 1 else 0.0), as_json)
 
 
 @fleet.command("revert", epilog="Example: hopmill fleet revert 127.0.0.1:8600 41")
--- a/hopmill/fleet/document.py
+++ b/hopmill/fleet/document.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import hashlib
 import zlib
 from collections.abc import Iterable
 
@@ -13,6 +15,11 @@
 RECENT = 8  # tickets of the last changes, so that one whose answer was lost is not done twice
 
 
+def ticket_of(name: str) -> str:
+    """Short, for eight of them are in each document; of one name and no other."""
+    return hashlib.blake2b(name.encode(), digest_size=8).hexdigest()
+
+
 class Lease(msgspec.Struct, frozen=True, array_like=True):
     """Who may act under this name. `fence` only grows; `renewal` counts what the owner has asked since."""
 
@@ -46,13 +53,18 @@
     @property
     def roster(self) -> int:
         """A number for who votes: leases that were given by two different sets of voters don't add up."""
-        return zlib.crc32(repr((sorted(self.voters), sorted(self.former))).encode())
+        return _roster(self.voters, self.former)
 
     @property
     def everyone(self) -> set[str]:
         return {*self.voters, *self.former}
 
 
+@functools.lru_cache(64)
+def _roster(voters: tuple[str, ...], former: tuple[str, ...]) -> int:
+    return zlib.crc32(repr((sorted(voters), sorted(former))).encode())
+
+
 class TooLarge(ValueError):
     """The changed document would not fit a datagram."""
 
--- a/hopmill/fleet/giver.py
+++ b/hopmill/fleet/giver.py
@@ -11,16 +11,18 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from hopmill.fleet import document as doc
 from hopmill.fleet.actions import Send
 from hopmill.fleet.document import Document
 from hopmill.fleet.policy import Policy
+from hopmill.fleet.proposer import Outcome
 from hopmill.fleet.register import Register
 from hopmill.fleet.standing import FOREVER
-from hopmill.fleet.wire import Clear, Given, Hold, IsClear, NotGiven, Stopped
+from hopmill.fleet.wire import Chosen, Clear, Given, Hold, IsClear, NotGiven, Stopped
 
 MOST_GRANTS = 4000
 MOST_WAITS = 12  # members that one answer names
-READ_US = (60_000, 300_000)  # that it does not know what is chosen, before it reads
+READ_US, MOST_DOUBLED = (60_000, 300_000), 4  # that it does not know what is chosen, before it reads
 
 
 @dataclass
@@ -47,7 +49,7 @@
         self.roster = 0
         self.refusals: dict[str, str] = {}  # by change: who refuses, and why
         self.asked: dict[str, int] = {}  # who wants to know when it is clear, and at which epoch
-        self.read_at = 0
+        self.read_at, self.reads, self.reading = 0, 0, ""  # when, how often in a row, under which ticket
         self.accepted: tuple[bytes, Document] = b"", register.document
         self.out: list[Send] = []
 
@@ -105,9 +107,9 @@
             return "alone differs"
         if sender in p.struck:
             return "struck off"
-        if not self.in_force(p, hold):
-            return f"version {p.version} is in force"
-        if p.change and p.change.closing and self.minds_closing():
+        if not self.in_force(p, sender, hold):
+            return f"version {p.version_for(sender)} is in force"
+        if p.closing_for(sender) and self.minds_closing():
             return "a change is closing"
         if p.change and not self.may_be_given(p, hold):
             if hold.refuses.startswith(p.change.id + " "):
@@ -120,8 +122,8 @@
                 return "too many members"
         return ""
 
-    def in_force(self, p: Policy, hold: Hold) -> bool:
-        return hold.version == p.version
+    def in_force(self, p: Policy, sender: str, hold: Hold) -> bool:
+        return hold.version == p.version_for(sender)
 
     def minds_closing(self) -> bool:
         return True
@@ -181,7 +183,8 @@
             if self.last and name in p.struck or p.change.closing and self.has_stopped(name, p):
                 continue
             if p.change.closing:
-                yield name, "has not stopped"
+                if p.change.concerns(name):
+                    yield name, "has not stopped"
             elif grant is None or grant.ready != p.change.id:
                 yield name, "is not ready" if grant else "not heard"
 
@@ -203,11 +206,23 @@
         """Returns when to be called again."""
         self._sure(now)
         self._tell(now)
-        if self.register.document.version >= self.voted().version:
-            self.read_at = 0
+        known, voted = self.register.document, self.voted()
+        if known.version >= voted.version or self.chosen_alike(known, voted):
+            self.read_at = self.reads = 0
+            if self.reading:
+                self.register.proposer.drop(self.reading, now)
+                self.reading = ""
             return self.next_us(now)
         if self.read_at and now >= self.read_at and not self.register.proposer.jobs:
-            self.register.propose(lambda ticket, document: None, now)
-        if now >= self.read_at:
-            self.read_at = now + self.register.proposer.chance.randrange(*READ_US)
+            self.reading = self.register.propose(lambda ticket, document: None, now, self._read)
+        if now >= self.read_at:  # not all at once, or they are in one another's way
+            chance, self.reads = self.register.proposer.chance, self.reads + 1
+            self.read_at = now + (chance.randrange(*READ_US) << min(self.reads - 1, MOST_DOUBLED))
         return min(self.read_at, self.next_us(now))
+
+    def _read(self, outcome: Outcome) -> None:
+        """The other voters need not find out by themselves."""
+        self.reading = ""
+        if outcome.document is not None:
+            body = Chosen(doc.encode(outcome.document))
+            self.out += [Send(v, body) for v in sorted(outcome.document.everyone - {self.me})]
--- a/hopmill/fleet/govern.py
+++ b/hopmill/fleet/govern.py
@@ -9,14 +9,17 @@
 from hopmill.fleet.conductor import Conductor, Then
 from hopmill.fleet.document import Document
 from hopmill.fleet.giver import Giver
-from hopmill.fleet.policy import Change, end, strike
+from hopmill.fleet.policy import STAGE, Change, Few, end, go_back, strike
 from hopmill.fleet.register import Register
 from hopmill.fleet.standing import Standing
 from hopmill.fleet.texts import Texts
-from hopmill.fleet.wire import Body, Clear, Given, Hold, IsClear, NotGiven, Piece, Stopped, WantText
+from hopmill.fleet.watch import Watch
+from hopmill.fleet.wire import (Body, Clear, Counted, Given, Hold, IsClear, NotGiven, Piece, Stopped,
+                                WantSums, WantText)
 
 MOST_LACKED = 4
-KINDS = (Hold, Given, NotGiven, Stopped, IsClear, Clear, WantText, Piece)
+SALTS = 256  # that are tried, for a share of few members to be met
+KINDS = (Hold, Given, NotGiven, Stopped, IsClear, Clear, WantSums, Counted, WantText, Piece)
 
 
 class Govern:
@@ -34,6 +37,7 @@
         self.standing = self.standing_type(me, life, register, length_us, drift, last)
         self.giver = self.giver_type(me, register, length_us, drift, last, names)
         self.conductor = self.conductor_type(me, register, chance, others)
+        self.watch = Watch()
         self.proposed: set[bytes] = set()  # texts that may come into the document yet
         self.lacked: dict[bytes, None] = {}  # texts of documents that it was to vote for, the newest last
         self.kept: set[bytes] = set()
@@ -88,6 +92,13 @@
             self.giver.is_clear(sender, body, now)
         elif isinstance(body, Clear):
             return self.conductor.clear(sender, body, now)
+        elif isinstance(body, WantSums):
+            if self.watch.stage == body.stage:
+                before, after = self.watch.told(now, body.watch_ms * 1000)
+                version = self.standing.version
+                self.texts.out.append(Send(sender, Counted(body.stage, version, before, after)))
+        elif isinstance(body, Counted):
+            self.conductor.counted(sender, body)
         elif isinstance(body, WantText):
             self.texts.wanted(sender, body)
         elif isinstance(body, Piece):
@@ -100,6 +111,9 @@
     def tick(self, now: int) -> int:
         """Returns when to be called again."""
         self._keep_texts()
+        self.watch.tick(now)
+        if (stage := self.register.document.policy.stage) and self.standing.held(now) >= 0:
+            self.watch.staged(stage.id, now)
         due = min(self.standing.tick(now), self.texts.tick(now), self.conductor.tick(now))
         return min(due, self.giver.tick(now) if self.register.voter.voting else due)
 
@@ -112,20 +126,34 @@
 
     # Words of the staff
 
-    def propose(self, ident: str, text: bytes, base: int, now: int, then: Then) -> str:
-        """ident: of this proposal and no other, however often it is told. ValueError: too long."""
+    def propose(self, ident: str, text: bytes, base: int, now: int, then: Then, share: float = 1.0,
+                watch_ms: int = 0) -> str:
+        """ident: of this proposal and no other, however often it is told. share: under 1, so many go first
+        and are watched. ValueError: too long."""
         digest = self.texts.add(text)
         self.proposed.add(digest)
 
         def ended(outcome: object) -> None:
             self.proposed.discard(digest)
             then(outcome)  # type: ignore[arg-type]
-        return self.conductor.propose(Change(ident, digest, self.me), base, now, ended)
+        change = Change(ident, digest, self.me)
+        if share < 1:
+            change = Change(ident, digest, self.me, False, STAGE, self._few(share, watch_ms))
+        return self.conductor.propose(change, base, now, ended)
+
+    def _few(self, share: float, watch_ms: int) -> Few:
+        """By the salt that comes nearest to the share of those that are there: one at least, and not all."""
+        names = [self.me, *self.conductor.others()]
+        wanted = min(max(1, round(share * len(names))), max(1, len(names) - 1))
+        return min((Few(share, salt, watch_ms) for salt in range(SALTS)),
+                   key=lambda few: abs(sum(map(few.has, names)) - wanted))
 
     def withdraw(self, ident: str, now: int) -> str:
         """End the change that is under way, if it is this one."""
         def step(ticket: str, document: Document) -> Document | None:
             p = document.policy
+            if p.stage and p.stage.id == ident:
+                return go_back(p.epoch, "withdrawn by staff")(ticket, document)
             return end(p.epoch, "withdrawn by staff")(ticket, document) if (
                 p.change and p.change.id == ident) else None
         return self.register.propose(step, now, lambda outcome: self.conductor.tell_if(outcome))
--- a/hopmill/fleet/lease.py
+++ b/hopmill/fleet/lease.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from hopmill.fleet.document import Document, Lease
+from hopmill.fleet.document import Document, Lease, ticket_of
 from hopmill.fleet.proposer import Change, Outcome
 
 RENEWALS = 3  # in the time of a lease
@@ -82,7 +82,7 @@
 
     def _ask(self, now: int, what: str) -> tuple[str, Change]:
         self.count += 1
-        ticket = f"{self.owner}/{self.name}/{self.count}"
+        ticket = ticket_of(f"{self.owner}/{self.name}/{self.count}")
         fence = self.next_fence(self.seen) if what == "take" else self.fence
         self.asked = Asked(ticket, now, what, fence)
         if what == "give":
--- a/hopmill/fleet/node.py
+++ b/hopmill/fleet/node.py
@@ -28,6 +28,7 @@
 BLOCK = 1000  # incarnations that are put on disk at a time, before the first of them is used
 FRESH = 1 << 32  # a member without a past begins above it
 AGAIN_US = 1_000_000  # after a disk that said no
+MOST_NAMED = 60  # members, in a row for staff
 LARGEST = 1 << 48  # an incarnation past it is nobody's
 
 
@@ -261,9 +262,10 @@
         elif self.govern:
             self.govern.receive(self.s.id, body, now)
 
-    def text_written(self, digest: bytes, ok: bool) -> None:
+    def text_written(self, digest: bytes, ok: bool, now: int) -> None:
         if self.govern:
             self.govern.texts.written(digest, ok)
+            self.register.texts_came(now)
 
     def _send(self, send: Send) -> None:
         if send.to == self.s.id:
@@ -328,5 +330,10 @@
                 "set_up_for": standing.version, "alone": "last" if standing.last else "hold",
                 "lease_ms": None if until - now > 1 << 60 else max(0, (until - now) // 1000),
                 "not_given": standing.why, "struck": list(p.struck), "waits": self.govern.conductor.waits(),
-                "change": p.change and {"id": p.change.id, "by": p.change.by, "closing": p.change.closing},
+                "change": p.change and {"id": p.change.id, "by": p.change.by, "closing": p.change.closing,
+                                        "moves": p.change.moves},
+                "stage": p.stage and {
+                    "id": p.stage.id, "version": p.stage.version, "share": p.stage.few.share,
+                    "members": [m for m in sorted((self.s.id, *self.swim.there()))
+                                if p.stage.few.has(m)][:MOST_NAMED]},
                 "ended": [{"id": e.id, "version": e.version, "why": e.why} for e in p.ended]}
--- a/hopmill/fleet/proposer.py
+++ b/hopmill/fleet/proposer.py
@@ -19,7 +19,8 @@
 
 # Without a majority's answers the same is asked once more, after some times as long as ballots took lately.
 AGAIN_US, MOST_AGAIN_US, AGAIN_TIMES = 100_000, 1_000_000, 3
-BACKOFF_US, MOST_BACKOFF_US = 20_000, 1_000_000
+# Two in each other's way step back for a random time, at most so long, or so many times what ballots take.
+BACKOFF_US, MOST_BACKOFF_US, MOST_BACKOFF_TIMES = 20_000, 1_000_000, 8
 WEIGHT = 0.2  # of the newest ballot's time in their mean
 ROUNDS = 4  # times that one ballot is sent before another is tried
 MOST_WAITING = 64
@@ -65,6 +66,7 @@
     next: Document | None = None  # what is to be accepted
     payload: bytes = b""
     changed: bool = False
+    refusal: str = ""  # why the change can't be made
     rounds: int = 0
     began: int = 0
     lives: dict[str, int] = field(default_factory=dict)
@@ -155,14 +157,19 @@
             if job.maybe and base.version - job.version >= doc.RECENT:
                 self._end("unknown", now, why="too much has changed since it was tried")
                 return
+            after = None
             try:
                 after = job.change(base)
                 at.payload = doc.encode(after or base)
             except ValueError as error:
-                self._end("unknown" if job.maybe else "refused", now, why=str(error))
+                at.refusal, after = str(error), None
+            if at.refusal and not job.maybe:
+                self._end("refused", now, why=at.refusal)
                 return
             at.next, at.changed = after or base, after is not None
-            if after is None and all(p.accepted == accepted for p in at.promises.values()):
+            # Where an earlier try may still be taken up by another, the same document is accepted once more
+            # under this ballot: from then on that try is no majority's any more.
+            if after is None and not job.maybe and all(p.accepted == accepted for p in at.promises.values()):
                 self._done(now)  # a majority holds it: it is chosen already
                 return
         at.payload = doc.encode(at.next)
@@ -203,7 +210,8 @@
             return
         self.now_at = None  # the next tick tries another, after a random while
         least = max(BACKOFF_US, self.takes_us)
-        most = min(MOST_BACKOFF_US, int(least) << min(self.jobs[0].tries, 10))
+        longest = max(MOST_BACKOFF_US, int(MOST_BACKOFF_TIMES * self.takes_us))
+        most = min(longest, int(least) << min(self.jobs[0].tries, 10))
         self.wake_at = now + self.step_back(most)
 
     def step_back(self, most: int) -> int:
@@ -216,8 +224,7 @@
         assert at is not None and at.next is not None
         self.learn(at.next)
         self.takes_us += WEIGHT * (now - at.began - self.takes_us)
-        # A change that may have been done earlier is not said to have been left.
-        self._end("done" if at.changed else "unknown" if self.jobs[0].maybe else "left", now, at.next)
+        self._end("done" if at.changed else "refused" if at.refusal else "left", now, at.next, at.refusal)
 
     def _end(self, state: str, now: int, document: Document | None = None, why: str = "") -> None:
         job = self.jobs.popleft()
@@ -226,6 +233,13 @@
         if self.jobs:
             self._begin(now)
 
+    def drop(self, ticket: str, now: int) -> None:
+        """A reading that is not needed any more; where something of it is under way, that does no harm."""
+        if self.jobs and self.jobs[0].ticket == ticket:
+            self._end("refused", now, why="not needed")
+        else:
+            self.jobs = deque(job for job in self.jobs if job.ticket != ticket)
+
     def learn(self, document: Document) -> bool:
         """It is chosen. True if it is news."""
         if document.version <= self.known.version:
--- a/hopmill/fleet/register.py
+++ b/hopmill/fleet/register.py
@@ -37,6 +37,7 @@
         self.counted = self.settle_at = 0
         # Whether this member lacks a text that the document names: then it does not vote for it yet.
         self.lacks: Callable[[Document, str], bool] = lambda document, sender: False
+        self.late: tuple[str, Accept] | None = None
 
     @property
     def document(self) -> Document:
@@ -51,7 +52,7 @@
                 then: Callable[[Outcome], None] = lambda outcome: None, within: int = DONE_WITHIN_US) -> str:
         """change: given its ticket and the document, the next one or None. Returns the ticket."""
         self.counted += 1
-        ticket = f"{self.name}/{self.counted}"
+        ticket = doc.ticket_of(f"{self.name}/{self.counted}")
         self.tickets[ticket] = then
         self._propose(ticket, lambda document: change(ticket, document), now, within)
         return ticket
@@ -70,6 +71,8 @@
         elif isinstance(body, Accept):
             if document is None or not self.lacks(document, sender):
                 voter.accept(sender, body)
+            else:
+                self.late = sender, body  # voted for once the text is there, as if it came late
         elif isinstance(body, Promise):
             proposer.promise(sender, body, now)
         elif isinstance(body, Accepted):
@@ -85,6 +88,11 @@
         elif isinstance(body, Chosen):
             proposer.learn(doc.decode(body.document))
 
+    def texts_came(self, now: int) -> None:
+        if self.late:
+            (sender, body), self.late = self.late, None
+            self.receive(sender, body, now)
+
     def newer(self, sender: str, version: int) -> bool:
         """Another member says that it knows this version. True if it is news."""
         if version <= self.document.version:
--- a/hopmill/fleet/texts.py
+++ b/hopmill/fleet/texts.py
@@ -118,6 +118,6 @@
         """Returns when to be called again."""
         for digest, fetch in self.fetched.items():
             if now - fetch.asked_at >= AGAIN_US:
-                fetch.tries += 1
                 self._ask(digest, fetch, fetch.asks[fetch.tries % len(fetch.asks)], now)
+                fetch.tries += 1
         return min((f.asked_at + AGAIN_US for f in self.fetched.values()), default=now + 1_000_000)
--- a/hopmill/fleet/wire.py
+++ b/hopmill/fleet/wire.py
@@ -161,6 +161,31 @@
     refused: str = ""
 
 
+class Sums(Part):
+    """What a courier has counted: worth of the messages that ended, and earned by them; calls that ended,
+    refused as full, and failed otherwise."""
+
+    worth: float = 0.0
+    earned: float = 0.0
+    calls: float = 0.0
+    refused: float = 0.0
+    failed: float = 0.0
+
+
+class WantSums(Part, tag="S"):
+    """Of this stage, which is watched for so long."""
+
+    stage: str
+    watch_ms: int
+
+
+class Counted(Part, tag="T"):
+    stage: str
+    version: int  # that the sender works under
+    before: Sums
+    after: Sums
+
+
 class WantText(Part, tag="t"):
     """So many pieces of it, from this byte on."""
 
@@ -176,7 +201,8 @@
 
 
 Body = (Ping | Ack | PingFor | Unheard | Ask | Known | Prepare | Promise | Accept | Accepted | Refused | Fetch
-        | Chosen | Hold | Given | NotGiven | Stopped | IsClear | Clear | WantText | Piece)
+        | Chosen | Hold | Given | NotGiven | Stopped | IsClear | Clear | WantSums | Counted
+        | WantText | Piece)
 
 
 class Frame(Part):
--- a/hopmill/net/in_force.py
+++ b/hopmill/net/in_force.py
@@ -14,6 +14,7 @@
 from hopmill import logs, overlay
 from hopmill.document import Document
 from hopmill.fields import ConfigError
+from hopmill.fleet.wire import Sums
 from hopmill.net.clients import Put, Reply
 from hopmill.net.intake import refusal
 from hopmill.net.peers import Peers, elapsed_us
@@ -24,6 +25,7 @@
 
 WAIT_S = 0.5  # clients wait so long for a change to be over; from then on they are told to come again
 HELD_SHARE = 1 / 2  # of the memory, for messages that are held, each as long as the longest
+NOTHING = books.Book().encode()  # the policy of a fleet that has made no change
 log = logs.part("fleet")
 
 
@@ -107,6 +109,10 @@
         self.peers = peers
         if self.governed:
             peers.look = self.look
+            govern = peers.node.govern
+            assert govern is not None
+            govern.watch.counts = lambda: Sums(*self.host.observer.sums)
+            self.host.observer.counting = True
             self.look()
 
     def look(self) -> None:
@@ -114,16 +120,16 @@
         govern = self.peers and self.peers.node.govern
         if not govern:
             return
-        p, held = govern.register.document.policy, govern.texts.held
-        change = p.change
-        if p.version != self.applied and (not p.version or p.digest in held):
-            self._take(p.version, held[p.digest] if p.version else books.Book().encode())
-            if self.applied == p.version:
-                govern.standing.set_up_for(p.version)
+        p, held, me = govern.register.document.policy, govern.texts.held, govern.me
+        change, version, digest = p.change, p.version_for(me), p.digest_for(me)
+        if version != self.applied and (not digest or digest in held):
+            self._take(version, held.get(digest, NOTHING))
+            if self.applied == version:
+                govern.standing.set_up_for(version)
                 self.peers._pump()
                 return
-        if change and change.id != govern.standing.ready and change.digest in held:
-            why = self.against(held[change.digest])
+        if change and change.id != govern.standing.ready and (not change.digest or change.digest in held):
+            why = self.against(held.get(change.digest, NOTHING))
             log.info("fleet.policy_checked", change=change.id, by=change.by, why=why or None)
             govern.standing.judged(change.id, why)
             self.peers._pump()
--- /dev/null
+++ b/hopmill/net/joining.py
@@ -0,0 +1,46 @@
+"""What a courier does with other couriers, where the configuration asks for it. Only then is any of it read:
+what is not asked for costs a courier in service no memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hopmill.net.config import Config
+
+if TYPE_CHECKING:
+    from hopmill.net.host import Host
+
+FLEET_BYTES = 16_384  # of the disk, for what members keep, the file that is half written included
+TEXTS_BYTES = 200_000  # and for the texts of policies: in force, under way, half written
+
+
+def fleet_bytes(config: Config) -> int:
+    """Of the disk, for what the fleet keeps there."""
+    if config.members is None:
+        return 0
+    return FLEET_BYTES + (TEXTS_BYTES if config.members.policy else 0)
+
+
+def go_by_policy(host: Host) -> None:
+    """Where something may differ from the settings of the start: by the fleet's policy, or by what the file
+    leaves out or bounds."""
+    d, members = host.config.document, host.config.members
+    bounded = d is not None and (d.ceilings or d.left_out.endpoints or d.left_out.zones)
+    if d is None or not (bounded or members and members.policy):
+        return
+    from hopmill.net.in_force import InForce
+    host.in_force = host.staff.in_force = InForce(host, d)
+    host.events += host.in_force.first()
+
+
+def join_fleet(host: Host) -> None:
+    """The fleet's files lie beside the journal."""
+    if not host.config.members:
+        return
+    from hopmill.net.peers import Peers
+    carried = host.upgrade.carried.get("fleet")
+    sock = host.upgrade.sock(carried["socket"]) if carried else None
+    host.peers = host.staff.peers = Peers(host.loop, host.config.members, host.upgrade.owner.folder, carried,
+                                          sock)
+    if host.in_force:
+        host.in_force.join(host.peers)
--- a/hopmill/net/observer.py
+++ b/hopmill/net/observer.py
@@ -29,6 +29,9 @@
     def __init__(self, settings: i.Settings) -> None:
         self.s = settings
         self.meters: Meters | None = None
+        # Of messages and calls that ended: worth, earned, calls, refused as full, failed otherwise; counted
+        # where a change of the fleet's policy is watched by them.
+        self.counting, self.sums = False, [0.0] * 5
         self.taken_at: dict[int, float] = {}  # by number, while it is open and counted
 
     def _cls(self, m: Held) -> str:
@@ -44,6 +47,7 @@
         """Answered -BUSY or -ERR before it was taken on."""
         if log.debugs:
             log.debug("message.refused", message=m.id, again_ms=-(-wait_us // 1000))
+        self._earned(m, False)
         if self.meters:
             self.meters.message(m.cls, "refused")
 
@@ -63,6 +67,10 @@
         if log.debugs:
             log.debug("attempt.ended", message=m.id, attempt=attempt, endpoint=endpoint, result=result.value,
                       latency_ms=round(latency_us / 1e3, 1), wait_ms=wait_us // 1000 or None)
+        if self.counting:
+            self.sums[2] += 1
+            self.sums[3] += result is i.Result.FULL
+            self.sums[4] += result not in (i.Result.OK, i.Result.FULL, i.Result.MOOT)
         if self.meters:
             self.meters.call(m.dest, result.value, latency_us / 1e6)
 
@@ -70,10 +78,17 @@
         """status: delivered (or withdrawn by its endpoint), deferred or undeliverable."""
         if log.debugs:
             log.debug("message.over", message=m.id, status=status, again_ms=again_ms or None)
+        self._earned(m, status in ("delivered", "withdrawn"))
         if self.meters:
             since = self.taken_at.pop(m.number, None)
             self.meters.message(m.cls, status, None if since is None else time.monotonic() - since)
 
+    def _earned(self, m: Held, delivered: bool) -> None:
+        if self.counting:
+            worth = self.s.classes[m.cls].worth
+            self.sums[0] += worth
+            self.sums[1] += worth * delivered
+
     def told(self, m: Held) -> None:
         """The platform has accepted its notice."""
         log.debug("notice.accepted", message=m.id, status=m.status)
--- a/hopmill/net/peers.py
+++ b/hopmill/net/peers.py
@@ -287,7 +287,7 @@
     def _text_written(self, digest: bytes, done: Future[None]) -> None:
         if error := done.exception():
             log.error("fleet.not_written", error=error)
-        self.node.text_written(digest, error is None)
+        self.node.text_written(digest, error is None, elapsed_us())
         self._pump()
 
     # Logs
--- a/hopmill/net/staff_policy.py
+++ b/hopmill/net/staff_policy.py
@@ -26,6 +26,8 @@
     reason: str = ""
     if_version: int | None = None
     revert: int | None = None
+    share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0  # of the couriers, which go first
+    watch_s: Annotated[float, msgspec.Meta(ge=1, le=86_400)] = 60.0  # for so long, before the rest follows
     dry_run: bool = False
 
 
@@ -64,8 +66,11 @@
         except (msgspec.DecodeError, RecursionError) as error:
             return 400, {"error": str(error)}
         in_force, p = self.in_force(), govern.register.document.policy
-        if any(e.id == ask.id for e in in_force.book.entries) or p.outcome(ask.id):
+        there = {p.change.id if p.change else "", p.stage.id if p.stage else ""}
+        if any(e.id == ask.id for e in in_force.book.entries) or p.outcome(ask.id) or ask.id in there:
             return self.outcome(ask.id)
+        if p.stage:
+            return 409, {"error": f"change {p.stage.id} of {p.stage.by} is staged"}
         if in_force.applied != p.version:
             return 409, {"error": f"version {p.version} is in force, and not known here yet"}
         if ask.if_version not in (None, p.version):
@@ -88,9 +93,10 @@
             return 409, {"error": f"this courier can't go by it: {why}"}
         if ask.dry_run:
             return 200, {"state": "not proposed", "base": p.version, "changes": changes}
-        return self._begin(ask.id, text, p.version, changes)
+        return self._begin(ask, text, p.version, changes)
 
-    def _begin(self, ident: str, text: bytes, base: int, changes: list[Any]) -> Answer:
+    def _begin(self, ask: Proposal, text: bytes, base: int, changes: list[Any]) -> Answer:
+        ident = ask.id
         self.begun[ident] = ""
         while len(self.begun) > MOST_OUTCOMES:
             self.begun.popitem(last=False)
@@ -98,7 +104,10 @@
         def ended(outcome: Any) -> None:
             if outcome.state == "refused":
                 self.begun[ident] = outcome.why
-        self.peers().govern(lambda govern, now: govern.propose(ident, text, base, now, ended))
+            elif outcome.state == "unknown":
+                self.begun.pop(ident, None)
+        self.peers().govern(lambda govern, now: govern.propose(
+            ident, text, base, now, ended, ask.share, int(ask.watch_s * 1e3)))
         return 202, {"state": "under way", "id": ident, "base": base, "changes": changes}
 
     def outcome(self, ident: str) -> Answer:
@@ -106,15 +115,21 @@
             return 404, {"error": "no fleet with a policy is configured"}
         p = govern.register.document.policy
         told = {"id": ident, "version": p.version}
+        if p.change and p.change.id == ident + "~":
+            return 200, told | {"state": "under way", "step": "going back", "why": p.outcome(ident).why
+                                if p.outcome(ident) else ""}
         if ended := p.outcome(ident):
             state = "in force" if ended.version else "in force nowhere"
             return 200, told | {"state": state, "version": ended.version or p.version, "why": ended.why}
-        for entry in self.in_force().book.entries:
+        for entry in self.in_force().book.entries if not p.stage else ():
             if entry.id == ident:
                 return 200, told | {"state": "in force", "version": entry.version, "why": ""}
         if p.change and p.change.id == ident:
             return 200, told | {"state": "under way", "step": "closing" if p.change.closing else "prepared",
                                 "waits": govern.conductor.waits()}
+        if p.stage and p.stage.id == ident:
+            return 200, told | {"state": "under way", "step": "staged",
+                                "watched": sorted(govern.conductor.counts)}
         if self.begun.get(ident):
             return 200, told | {"state": "in force nowhere", "why": self.begun[ident]}
         return 200, told | {"state": "under way" if ident in self.begun else "not known", "why": ""}
--- a/hopmill/overlay.py
+++ b/hopmill/overlay.py
@@ -44,7 +44,7 @@
             continue
         if name in ROWS:
             flat |= _rows(name, value)
-        elif name in FIELDS and isinstance(value, dict):
+        elif isinstance(value, dict) and value:
             for field, inner in value.items():
                 flat[_allowed(f"{name}.{field}")] = inner
         else:
--- a/hopmill/trial/scenario.py
+++ b/hopmill/trial/scenario.py
@@ -6,7 +6,7 @@
 import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -33,6 +33,8 @@
     seconds: Positive = 10.0
     rate_per_s: Positive = 60.0
     changes_per_s: NotNegative = 5.0
+    policies_per_s: NotNegative = 0.0  # changes of policy that staff propose
+    alone: Literal["", "hold", "last"] = ""  # what couriers do without a lease; empty: no policy
     acts_per_s: NotNegative = 80.0  # askings, of all couriers together, whether one holds the lease
     net: Net = Net()
     clocks_off_s: NotNegative = 0.0  # wall clocks are wrong by up to so much, either way
