--- a/hopmill/fleet/conductor.py
+++ b/hopmill/fleet/conductor.py
@@ -147,7 +147,7 @@
                 self.tell(outcome.document)
             else:
                 self.answers = {}
-        self.register.propose(step, now, ended)
+        self.register.propose(step, now, ended, urgent=True)
 
     def tell_if(self, outcome: Outcome) -> None:
         if outcome.state == "done" and outcome.document is not None:
--- a/hopmill/fleet/giver.py
+++ b/hopmill/fleet/giver.py
@@ -48,6 +48,7 @@
         self.sure_at = -1  # from when on it knows of all that it gave; -1: not begun to wait
         self.roster = 0
         self.refusals: dict[str, str] = {}  # by change: who refuses, and why
+        self.last_waited = ""
         self.asked: dict[str, int] = {}  # who wants to know when it is clear, and at which epoch
         self.read_at, self.reads, self.reading = 0, 0, ""  # when, how often in a row, under which ticket
         self.accepted: tuple[bytes, Document] = b"", register.document
@@ -149,16 +150,24 @@
         for sender, epoch in list(self.asked.items()):
             self._answer(sender, epoch, now, False)
 
+    def _waits_at_all(self, p: Policy, now: int) -> bool:
+        """Whether `waits` would name anybody. Asked with each datagram of each member: it looks first at the
+        one that was waited for last."""
+        if self.last_waited and self._waits_for(self.last_waited, p, now):
+            return True
+        self.last_waited = next((name for name, _ in self.waits(p, now)), "")
+        return bool(self.last_waited)
+
     def _answer(self, sender: str, epoch: int, now: int, always: bool) -> None:
         p = self.voted().policy
         if p.epoch != epoch or p.change is None or not self.register.voter.voting:
             if p.epoch > epoch:
                 self.asked.pop(sender, None)
             return
-        waits = [*self.waits(p, now)]
         refused = self.refusals.get(p.change.id, "")
-        if not (always or refused or not waits):
+        if not (always or refused) and self._waits_at_all(p, now):
             return
+        waits = sorted(self.waits(p, now))
         answer = Clear(epoch, self.voted().roster, not waits, tuple(waits[:MOST_WAITS]), refused)
         if answer.clear and p.change.closing:
             self.asked.pop(sender, None)
@@ -176,17 +185,25 @@
         assert p.change is not None
         if not self._sure(now) and self.waits_one_out():
             yield self.me, f"waits {(self.sure_at - now) // 1000} ms"
-        holders = {name: grant for name, grant in self.grants.items() if grant.until > now}
-        if self.last:
-            holders |= dict.fromkeys(self.names - self.heard)
-        for name, grant in sorted(holders.items()):
-            if self.last and name in p.struck or p.change.closing and self.has_stopped(name, p):
-                continue
-            if p.change.closing:
-                if p.change.concerns(name):
-                    yield name, "has not stopped"
-            elif grant is None or grant.ready != p.change.id:
-                yield name, "is not ready" if grant else "not heard"
+        for name in self.names - self.heard if self.last else ():
+            if why := self._waits_for(name, p, now):
+                yield name, why
+        for name in self.grants:
+            if why := self._waits_for(name, p, now):
+                yield name, why
+
+    def _waits_for(self, name: str, p: Policy, now: int) -> str:
+        """What this member has yet to do, "" if nothing."""
+        change, grant = p.change, self.grants.get(name)
+        assert change is not None
+        presumed = self.last and name not in self.heard and name in self.names
+        if not (presumed or grant and grant.until > now) or self.last and name in p.struck:
+            return ""
+        if change.closing:
+            return "has not stopped" if change.concerns(name) and not self.has_stopped(name, p) else ""
+        if grant is None or presumed:
+            return "not heard"
+        return "" if grant.ready == change.id else "is not ready"
 
     def has_stopped(self, name: str, p: Policy) -> bool:
         """For this closing: it may have gone on after an earlier one."""
--- a/hopmill/fleet/govern.py
+++ b/hopmill/fleet/govern.py
@@ -79,7 +79,7 @@
         """Whether there is something to do at once."""
         if isinstance(body, Hold):
             self.giver.hold(sender, body, now)
-            return bool(self.register.document.policy.change)
+            return False
         if isinstance(body, Given):
             before = self.standing.held(now)
             self.standing.given_by(sender, body, now)
--- a/hopmill/fleet/lease.py
+++ b/hopmill/fleet/lease.py
@@ -64,6 +64,10 @@
             return self._ask(now, "take")
         return None
 
+    def can_wait(self, now: int) -> bool:
+        """Not asked for anything, and its lease has half of its time left, or is another's."""
+        return self.asked is None and (not self.fence or self.valid_until - now > self.kept_us() // 2)
+
     def free(self, now: int) -> bool:
         """Whether its owner has given it up, by itself or by time."""
         return not self.seen.owner or now - self.seen_at >= self.waits_us()
--- a/hopmill/fleet/proposer.py
+++ b/hopmill/fleet/proposer.py
@@ -53,6 +53,7 @@
     maybe: bool = False  # an Accept went out: it may have happened
     version: int = 0  # that it was to become then, the first time
     tries: int = 0
+    urgent: bool = False  # work waits for it: it steps back for a quarter of the time
 
 
 @dataclass
@@ -84,12 +85,12 @@
         self.out: list[Send] = []
         self.ended: list[Outcome] = []
 
-    def propose(self, ticket: str, change: Change, now: int, until: int) -> None:
+    def propose(self, ticket: str, change: Change, now: int, until: int, urgent: bool = False) -> None:
         """ticket: of this change and no other. It ends by `until` at the latest, then perhaps as unknown."""
         if len(self.jobs) >= MOST_WAITING:
             self.ended.append(Outcome(ticket, "refused", why="too many changes wait"))
             return
-        self.jobs.append(Job(ticket, change, until))
+        self.jobs.append(Job(ticket, change, until, urgent=urgent))
         if len(self.jobs) == 1:
             self._begin(now)
 
@@ -212,7 +213,7 @@
         least = max(BACKOFF_US, self.takes_us)
         longest = max(MOST_BACKOFF_US, int(MOST_BACKOFF_TIMES * self.takes_us))
         most = min(longest, int(least) << min(self.jobs[0].tries, 10))
-        self.wake_at = now + self.step_back(most)
+        self.wake_at = now + self.step_back(most) // (4 if self.jobs[0].urgent else 1)
 
     def step_back(self, most: int) -> int:
         return self.chance.randrange(most // 4, most)
--- a/hopmill/fleet/register.py
+++ b/hopmill/fleet/register.py
@@ -15,6 +15,7 @@
                                 Refused)
 
 SETTLE_US = (500_000, 2_000_000)  # after the first step of replacing a voter
+CLOSING_US = 50_000  # that a lease's renewal waits at a time while a change of policy is closing
 FETCH_US = 100_000  # between two askings for a newer document
 DONE_WITHIN_US = 10_000_000
 
@@ -49,16 +50,17 @@
         return self.keepers.setdefault(name, self.keeper_type(name, self.name, length_us, drift))
 
     def propose(self, change: Callable[[str, Document], Document | None], now: int,
-                then: Callable[[Outcome], None] = lambda outcome: None, within: int = DONE_WITHIN_US) -> str:
+                then: Callable[[Outcome], None] = lambda outcome: None, within: int = DONE_WITHIN_US,
+                urgent: bool = False) -> str:
         """change: given its ticket and the document, the next one or None. Returns the ticket."""
         self.counted += 1
         ticket = doc.ticket_of(f"{self.name}/{self.counted}")
         self.tickets[ticket] = then
-        self._propose(ticket, lambda document: change(ticket, document), now, within)
+        self._propose(ticket, lambda document: change(ticket, document), now, within, urgent)
         return ticket
 
-    def _propose(self, ticket: str, change: Change, now: int, within: int) -> None:
-        self.proposer.propose(ticket, change, now, now + within)
+    def _propose(self, ticket: str, change: Change, now: int, within: int, urgent: bool = False) -> None:
+        self.proposer.propose(ticket, change, now, now + within, urgent)
 
     def receive(self, sender: str, body: Body, now: int) -> None:
         """msgspec.DecodeError: the document in it is none; nothing of it is kept."""
@@ -105,7 +107,11 @@
         due = now + 1_000_000
         if (at := self.proposer.tick(now)) is not None:
             due = min(due, at)
+        change = self.document.policy.change
         for keeper in self.keepers.values():
+            if change and change.closing and keeper.can_wait(now):
+                due = min(due, now + CLOSING_US)  # work waits for the closing's end: nobody is in its way
+                continue
             if asked := keeper.tick(now, self.document):
                 self._propose(*asked, now, keeper.kept_us())
             due = min(due, keeper.next_us(now))
--- a/hopmill/lab/courier.py
+++ b/hopmill/lab/courier.py
@@ -54,6 +54,8 @@
         i = self.dialect.i
         if self.world.members:
             self.world.members.start(self.number)
+        if self.world.policy:
+            self.world.policy.started(self.number)
         self.tell(
             self.dialect.make("EndpointsListed", form=i.ListForm.CACHED, entries=tuple(self.known.values()))
         )
@@ -67,6 +69,8 @@
         self.life += 1
         if self.world.members:
             self.world.members.kill(self.number)
+        if self.world.policy:
+            self.world.policy.ended(self.number)
         self.rules.forget(self.number)
         self.calls.lost()
         waiting = [reply for _, reply in self.arrived.values()]
@@ -195,6 +199,8 @@
         """reply(end, wait in us): taken, refused, failed, or gone where the process died first."""
         if not self.alive or not self.listening:
             reply("gone", 0)
+        elif self.world.policy and self.world.policy.holding[self.number]:
+            self.world.policy.wait(self.number, m, reply)
         elif len(self.journal) + len(self.arrived) >= self.settings.max_held:
             self.asked += 1
             reply("refused", self.module.come_back_us())
--- a/hopmill/lab/play.py
+++ b/hopmill/lab/play.py
@@ -46,6 +46,8 @@
     told = result(world)
     if world.members:
         told["members"] = world.members.figures()
+    if world.policy:
+        told["policy"] = world.policy.figures()
     if broken:
         told |= {"g": 0.0, **broken}
     if more:
--- a/hopmill/lab/scenario.py
+++ b/hopmill/lab/scenario.py
@@ -95,6 +95,8 @@
     back_ms: Range = 600.0  # a killed courier is back after so long
     told_couriers: int = 0  # what the settings say, if not the truth
     members: bool = False  # that know one another, as hopmill/fleet has it
+    policy: bool = False  # and go by one policy: without a lease on it they hold
+    policy_every_s: NotNegative = 0.0  # staff change it; 0: never
 
 
 class Reports(Strict, kw_only=True):
--- a/hopmill/trial/run.py
+++ b/hopmill/trial/run.py
@@ -237,6 +237,7 @@
         return {"scenario": self.s.name, "seed": self.ask.seed, "couriers": self.ask.couriers,
                 "faults": dict(sorted(self.hand.counts.items())), "killed": self.hand.killed,
                 "messages": result["taken"], "lost": self._open(), "twice": result["twice"],
+                "in_time": round(result["in_time"] / max(1, result["handed_in"]), 4),
                 "changes": sum(r["state"] == "done" for r in changes),
                 "unknown": len(self.history.of("unknown")),
                 "change_p99_ms": took[int(len(took) * 0.99)] if took else None,
