Send a proposal's body from the command; test the commands of policy

Cause: the client of the door passed the patch as a path's name, so the door heard an empty body (exit 1, 'Input data was truncated'); found by a test of the commands, which there was none of. Result: propose, history, revert, change, withdraw and strike pass against a process.

--- a/hopmill/cli/door.py
+++ b/hopmill/cli/door.py
@@ -18,7 +18,8 @@
     """No answer that can be read; the text is one line."""
 
 
-def call(address: str, method: str, path: str, name: str = "") -> tuple[int, dict[str, Any]]:
+def call(address: str, method: str, path: str, name: str = "",
+         body: bytes | None = None) -> tuple[int, dict[str, Any]]:
     """(status, body). DoorError where nobody answers."""
     try:
         host, port = parse_address(address, "ADDRESS")
@@ -26,7 +27,7 @@
         raise DoorError(str(error)) from None
     connection = http.client.HTTPConnection(host, port, timeout=PATIENCE_S)
     try:
-        connection.request(method, path.format(quote(name, safe="")))
+        connection.request(method, path.format(quote(name, safe="")), body)
         answer = connection.getresponse()
         return answer.status, json.loads(answer.read())
     except (OSError, http.client.HTTPException, ValueError) as error:
--- a/hopmill/cli/policy.py
+++ b/hopmill/cli/policy.py
@@ -24,9 +24,9 @@
 MOST_BODY = 7000  # bytes; the door reads no longer call
 
 
-def _told(door: str, method: str, path: str, body: bytes = b"") -> dict[str, Any]:
+def _told(door: str, method: str, path: str, body: bytes | None = None) -> dict[str, Any]:
     try:
-        status, told = call(door, method, path, body)
+        status, told = call(door, method, path, body=body)
     except DoorError as error:
         raise fail(str(error), 1) from None
     if status >= 400:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,6 +5,8 @@
 import json
 import random
 import re
+import subprocess
+import sys
 import time
 from pathlib import Path
 
@@ -12,7 +14,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from loopback import bounded, courier
+from loopback import DOOR, ROOT, bounded, courier
 from test_brain import S, Host
 from test_operator import call, say
 from test_peers import with_members
@@ -584,6 +586,30 @@
     client.close()
 
 
+@courier
+async def test_the_commands_propose_and_tell(fleet):
+    await fleet.endpoint("a")
+    with_members(fleet, **ONE)
+    await fleet.outside()
+    await bounded(acts(fleet))
+    patch, door = fleet.folder / "patch.toml", f"{DOOR}:{fleet.door}"
+    patch.write_text('left_out = { endpoints = ["a"] }\n')
+
+    async def said(*words):
+        command = [sys.executable, "-m", "hopmill", "fleet", *words]
+        return await asyncio.to_thread(subprocess.run, command, cwd=ROOT, capture_output=True, text=True)
+    done = await said("propose", door, str(patch), "--reason", "rewired", "--id", "x1")
+    assert done.returncode == 0 and "own -> [\"a\"]" in done.stdout and "in force" in done.stdout
+    assert (await said("propose", door, str(patch))).returncode == 1  # it changes nothing now
+    assert "rewired" in (await said("history", door)).stdout
+    assert (await said("revert", door, "0")).returncode == 0
+    assert (await said("change", door, "nobody")).returncode == 3
+    assert (await said("withdraw", door, "nobody", "--wait", "1")).returncode == 3
+    assert (await said("strike", door, "n7")).returncode == 0
+    patch.write_text("unset = [" + ", ".join(f'"ceilings[{n}].window"' for n in range(400)) + "]\n")
+    assert "propose it in parts" in (await said("propose", door, str(patch))).stderr
+
+
 # The trial's rules
 
 def act(at, version, who="c0", message="m", what="began", looked=None):
