End a bundle as one call, at the first time-out of its messages

Ruled out: notices, restarts, cut answers, the stated time. Change: one time for a call; the module groups messages so that none ends a call too early for others (timeouts.py shares, of_call).

--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -114,9 +114,7 @@
         self.status, self.headers, self.body, self.received = 0, {}, bytearray(), 0
         self.connection: Link | None = None
         self.loan: Loan | None = None
-        longest = max((i.timeout_us for i in items), default=0)
         self.timers: list[asyncio.TimerHandle] = []
-        self.deadline = self.started + longest / 1e6
 
     @property
     def latency_us(self) -> int:
@@ -126,6 +124,12 @@
     def open(self) -> bool:
         return any(not i.ended for i in self.items)
 
+    @property
+    def deadline(self) -> float:
+        """One for all of its items, the first one's. Were it waited for beyond that, an answer that comes after
+        the time of some would be taken for the end of others, by this side alone."""
+        return self.started + min((i.timeout_us for i in self.items if not i.ended), default=0) / 1e6
+
     def timer(self, delay: float, action: Callable[[], None]) -> None:
         self.timers.append(self.calls.loop.call_later(max(0.0, delay), action))
 
@@ -176,6 +180,8 @@
 
     def timed_out(self) -> None:
         """The courier stops waiting: the connection goes too, or a late answer would meet the next call."""
+        if not self.open and not self.path:  # only the rest of an answer whose head has come is missing
+            return
         sent = self.connection is not None and self.connection.exchange is self and self.connection.written
         if self.connection is not None:
             self.calls.pool.failed(self.connection)
@@ -238,13 +244,9 @@
         """Go on with a call of the process before this one."""
         call = Call(self, endpoint, items)
         call.started = started
-        call.deadline = started + max(i.timeout_us for i in items) / 1e6
         call.connection = self.pool.resume(endpoint, address, sock, born)
         self.out.add(call)
-        for item in items:
-            if not item.ended:
-                left = started + item.timeout_us / 1e6 - self.loop.time()
-                call.timer(left, lambda item=item: self._late(call, item))
+        call.timer(call.deadline - self.loop.time(), call.timed_out)
         call.connection.resume(call, received)
 
     # Starting
@@ -252,10 +254,7 @@
     def send(self, endpoint: int, items: list[Item]) -> None:
         """One call with these messages; each item's end is told once."""
         call = Call(self, endpoint, items)
-        for item in items:
-            # Items of a bundle share its fate: one that ended sooner could be tried again while its first
-            # copy is still out. The host cuts each time-out to its message's deadline.
-            call.timer(item.timeout_us / 1e6, lambda item=item: self._late(call, item))
+        call.timer(call.deadline - call.started, call.timed_out)
         self._start(call)
 
     def probe(self, endpoint: int, path: str = "/alive") -> None:
@@ -271,14 +270,6 @@
                 call.abandon()
                 call.finish(item, Outcome(Result.CANCELLED if item.begun else Result.MOOT))
 
-    def _late(self, call: Call, item: Item) -> None:
-        if item.ended:
-            return
-        if sum(not i.ended for i in call.items) == 1:
-            call.timed_out()
-        else:
-            call.finish(item, Outcome(Result.TIMEOUT if item.begun else Result.CONNECT_FAILED))
-
     def _start(self, call: Call) -> None:
         self.out.add(call)
         loan = self.pool.lend(call.endpoint, lambda link, error: self._lent(call, link, error))
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -281,10 +281,6 @@
             self._call(a.endpoint, [item])
 
     def _call(self, endpoint: int, items: list[Item]) -> None:
-        longest = max(item.timeout_us for item in items)
-        for item in items:
-            left = self._mono(self.journal.held[item.number].until) - self.clock() - 2 * self.s.tick_us
-            item.timeout_us = max(item.timeout_us, min(longest, left))
         try:
             self.calls.send(endpoint, items)
         except Exception:  # its slots and messages must not hang on it
--- a/hopmill/policy/courier.py
+++ b/hopmill/policy/courier.py
@@ -368,12 +368,15 @@
         if ep.c.open:
             ep.c.trial = call
         self.circuits.spend(ep)
-        self._attempt(m, call)
-        for _ in range(self.s.kinds[ep.lane.dest.kind].batch - 1):
-            more = [x for x in ep.lane.dest.queue if self.gate.may(x, ep)]
-            if not more or ep.c.open:
-                break
-            self._attempt(min(more, key=lambda x: x.seq), call)
+        going, most = [m], self.s.kinds[ep.lane.dest.kind].batch
+        if most > 1 and not ep.c.open:  # a trial carries one
+            going += [x for x in sorted(m.dest.queue, key=lambda x: x.seq) if x is not m
+                      and self.timeouts.shares(m, x, ep.lane) and self.gate.may(x, ep)][:most - 1]
+        timeout = self.timeouts.of_call(going, ep, self.book.out >= self.pacing.cap)
+        for x in going:
+            self._join(x, call, x.tries)
+            x.tries += 1
+            self.turn.actions.append(Send(x.id, ep.id, timeout))
 
     def _call(self, ep: Endpoint, sent_at: int) -> Call:
         """A call that takes a slot."""
@@ -389,9 +392,3 @@
         self.book.calls[(m.id, attempt)] = (call, m)
         call.left += 1
         m.out, m.last = m.out + 1, call.endpoint
-
-    def _attempt(self, m: Message, call: Call) -> None:
-        timeout = self.timeouts.of_attempt(m, call.endpoint, self.book.out >= self.pacing.cap)
-        self._join(m, call, m.tries)
-        m.tries += 1
-        self.turn.actions.append(Send(m.id, call.endpoint.id, timeout))
--- a/hopmill/policy/timeouts.py
+++ b/hopmill/policy/timeouts.py
@@ -46,9 +46,23 @@
         """Where many calls are lost anyway, one without an answer says little of its endpoint."""
         return min(1.0, LOST_X * self.loss)
 
+    def left(self, m: Message) -> int:
+        return int(min(m.until, self.turn.closing)) - self.turn.now - self.turn.margin
+
+    def shares(self, m: Message, x: Message, lane: Lane) -> bool:
+        """Whether x may go in m's call, which ends for both with the first one's time: one with less left than
+        most calls take would end it too early for others."""
+        most = lane.mean + 2 * lane.dev if lane.mean else self.s.connect_timeout_us
+        left, other = self.left(m), self.left(x)
+        return other >= most if left >= most else left <= other < most
+
+    def of_call(self, messages: list[Message], ep: Endpoint, short: bool) -> int:
+        """One time for all that go in it. short: slots are."""
+        longest = max(self.of_attempt(m, ep, short) for m in messages)
+        return max(1, min(longest, *map(self.left, messages)))
+
     def of_attempt(self, m: Message, ep: Endpoint, short: bool) -> int:
-        """short: slots are."""
-        left = int(min(m.until, self.turn.closing)) - self.turn.now - self.turn.margin
+        left = self.left(m)
         timeout, lane = left, ep.lane
         guess = self.of(lane) if lane.mean else max(self.s.connect_timeout_us, m.cls.aim_us)
         if m.cls.effect is Effect.UNSAFE:  # one long try; but where slots are short, lost calls take others'
@@ -57,4 +71,4 @@
             timeout = guess
         if ep.c.open and m.cls.effect is not Effect.UNSAFE:  # a trial of what may hang: hold the slot briefly
             timeout = min(timeout, int(TRIAL_X * guess))
-        return max(1, timeout)
+        return timeout
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -429,3 +429,23 @@
     other.mean = other.hold = 5e5
     acts = h.do(AttemptEnded(busy.message, 0, 200, Result.MOOT, 0, True))
     assert [s.message for s in of(Send, acts)] == [waiting]
+
+
+@pytest.mark.parametrize("lives", [(10.0, 0.25, 12.0, 9.0), (0.25, 10.0, 0.2, 12.0), (9.0, 9.0, 9.0, 9.0)])
+def test_a_bundle_has_one_time_and_none_in_it_ends_that_too_early_for_others(lives):
+    # It was waited for until each one's own time: what came after the first one's time counted for nobody.
+    h = Host(kinds=(Kind("k", batch=10),))
+    h.arrive()
+    left = {}
+    for life in lives:
+        h.arrive(life=int(life * S))
+        left[h.next] = h.now + int(life * S)
+    sent = of(Send, h.end(1, Result.OK))
+    lane, = h.courier.book.dests[1].lanes
+    usual = lane.mean + 2 * lane.dev
+    left = {m: until - h.now - h.courier.turn.margin for m, until in left.items()}
+    assert sent and len({a.timeout_us for a in sent}) == 1
+    assert sent[0].timeout_us <= min(left[a.message] for a in sent)
+    together = {a.message for a in sent}
+    assert {left[m] >= usual for m in together} in ({True}, {False})
+    assert together == {m for m in left if left[m] >= usual} or not any(left[m] >= usual for m in together)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -34,8 +34,10 @@
         self.ended.put_nowait((item.id, outcome))
 
     async def send(self, port, *ids, timeout_us=5_000_000, body=b"x"):
+        """timeout_us: of all, or one for each."""
         self.pool.place(1, ("127.0.0.1", port))
-        items = [c.Item(n, 0, i, "k" + i, body, timeout_us) for n, i in enumerate(ids)]
+        times = timeout_us if isinstance(timeout_us, tuple) else (timeout_us,) * len(ids)
+        items = [c.Item(n, 0, i, "k" + i, body, t) for n, (i, t) in enumerate(zip(ids, times, strict=True))]
         self.calls.send(1, items)
         return [await bounded(self.ended.get()) for _ in ids]
 
@@ -264,6 +266,21 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("times", [(300_000, 60_000_000), (60_000_000, 300_000)])
+def test_a_bundle_is_waited_for_until_its_first_items_time_and_says_so(times):
+    # An answer that comes after the time of some was taken for the end of the others, and counted for nobody.
+    async def run():
+        endpoint = await Endpoint("hang").start()
+        o = Outcomes()
+        ends = dict(await o.send(endpoint.port, "a", "b", timeout_us=times))
+        _, headers, _, _ = await endpoint.call()
+        assert 0 < int(headers["x-timeout-ms"]) <= 300
+        await bounded(endpoint.ended.get())  # the connection has ended: no answer can come any more
+        assert {end.result for end in ends.values()} == {Result.TIMEOUT} and not o.calls.out
+        await endpoint.stop()
+    asyncio.run(run())
+
+
 def test_what_may_not_be_written_any_more_is_reported_as_never_run():
     # News of a wait or a drain can come while the connection for a call is being made.
     async def run():
