Try what a restart found untried, whatever its pace

Cause: they arrive in the module like new ones, and Admission.refuses turns away what the courier's part of a limit does not reach. Change: MessageArrived.restored; such a message waits for its turn until its time is up. Test: test_brain, ten of ten were refused before.

--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -196,6 +196,7 @@
     ran_at_us: int = -1  # when the first attempt that may have run was sent,
     ran_zone: int = -1  # and to which zone, -1 if that is not known
     out: bool = False  # its newest attempt is still out: CallCarried follows in the same turn
+    restored: bool = False  # it was taken on by the process before
 
 
 @dataclass(frozen=True, slots=True)
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -121,7 +121,7 @@
             if m.status:
                 self.notices.add(m.number, m.id, m.status, m.again_ms)
             else:
-                self.events.append(self.arrival(m, m.number in out))
+                self.events.append(self.arrival(m, m.number in out, True))
                 self.guard(m)
 
     def clock(self) -> int:
@@ -130,11 +130,11 @@
     def _mono(self, wall: float) -> int:
         return self.clock() + int((wall - time.time()) * 1e6)
 
-    def arrival(self, m: Held, out: bool = False) -> i.MessageArrived:
+    def arrival(self, m: Held, out: bool = False, restored: bool = False) -> i.MessageArrived:
         ran, zone = (m.ran_at, m.ran_zone) if out else (m.may_have_run_at, m.may_have_run_zone)
         return i.MessageArrived(m.number, m.cls, m.dest, self._mono(m.until), m.tenant, m.order,
                                 m.resubmitted, m.tries, self._mono(ran) if ran else -1,
-                                self.roster.zones.get(zone, -1), out)
+                                self.roster.zones.get(zone, -1), out, restored)
 
     # The turn
 
--- a/hopmill/policy/admission.py
+++ b/hopmill/policy/admission.py
@@ -45,8 +45,7 @@
         return min(SHED, sum(shares) / max(1, len(dest.lanes)))
 
     def refuses(self, m: Message) -> bool:
-        refused = self.turn.thin and self.turn.random.random() < self.refusal(m.dest, m.until - self.turn.now)
-        return refused or self.spent(m)
+        return self.turn.thin and self.turn.random.random() < self.refusal(m.dest, m.until - self.turn.now)
 
     def held(self, messages: int, out: int) -> None:
         """So many messages and calls now: a change between full and room is logged."""
--- a/hopmill/policy/courier.py
+++ b/hopmill/policy/courier.py
@@ -245,8 +245,8 @@
         dest.queue.append(m)
         if m.key:
             book.keys.setdefault(m.key, []).append(m)
-        refused = self.admission.refuses(m)
-        if refused and not e.out:
+        refused = not e.restored and self.admission.refuses(m)  # what was taken on is tried
+        if (refused or self.admission.spent(m)) and not e.out:
             self._finish(m, self.s.max_retry_after_us)
             return
         heapq.heappush(self.expiries, (m.last_at(self.turn.margin), m.id))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -485,3 +485,22 @@
         assert of(Fail, acts) == [Fail(9)]
     elif not sent:  # until its window ends its zone may come back
         assert not of(Fail, acts) and of(Fail, h.idle(7.2)) == [Fail(9)]
+
+
+@pytest.mark.parametrize(("restored", "given_up"), [(True, 0), (False, 10)])
+def test_what_a_restart_found_untried_is_not_given_up_for_its_pace(restored, given_up):
+    # New ones that the pace can't reach in their life are turned away at once; these were taken on already.
+    h = Host(couriers=100, slots=4, rate=5.0)  # a part of a call in 20 s
+    h.courier.pacing.spread = 0.0
+    h.arrive()
+    acts = h.do(*(MessageArrived(50 + n, 0, 1, h.now + 9 * S, restored=restored) for n in range(10)))
+    assert len(of(Refuse, acts)) == given_up
+
+
+def test_each_message_that_a_restart_found_untried_is_sent():
+    h = Host(slots=4)
+    h.do(*(MessageArrived(50 + n, 0, 1, h.now + 9 * S, restored=True) for n in range(30)))
+    while h.courier.book.calls:
+        message, _ = next(iter(h.courier.book.calls))
+        h.end(message, Result.OK)
+    assert set(h.tries) == set(range(50, 80))
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -455,7 +455,7 @@
 
 @pytest.mark.parametrize(("kind", "wall", "calls"), [("keyed", 7.9, 2), ("keyed", 8.1, 1), ("safe", 5.0, 2)])
 def test_a_repeat_keeps_its_window_though_it_is_written_late(tmp_path, monkeypatch, kind, wall, calls):
-    # Decided inside the window, written after it: the key is forgotten by then, and it would take effect twice.
+    # Decided inside the window, written after it: the key is forgotten, and it would take effect twice.
     async def run():
         async with Fleet(tmp_path) as fleet:
             e = await fleet.endpoint("a", "reset")
