--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,7 +19,7 @@
 from hopmill.interface import Result
 from hopmill.net import calls as c
 from hopmill.net.accept import Acceptor, listening_socket
-from hopmill.net.discovery import Watch
+from hopmill.net.discovery import Notices, Watch
 
 FLOOD = b"nonsense\r\n" * 100_000  # far more than the kernel holds of it
 
@@ -450,3 +450,27 @@
         acceptor.close()
         assert not acceptor.open and acceptor.pausing.cancelled()
     asyncio.run(run())
+
+
+def test_a_notice_on_a_connection_that_fell_silent_is_told_in_time_on_another():
+    # Half a second after a message's time its notice is too late; it was sent again after a whole one.
+    async def run():
+        got = asyncio.Queue()
+
+        async def serve(reader, writer):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+                got.put_nowait(await reader.readexactly(length))
+                if got.qsize() + len(told) > 1:
+                    writer.write(b"HTTP/1.1 204 x\r\n\r\n")
+        told = []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        notices = Notices(asyncio.get_running_loop(), server.sockets[0].getsockname(), told.extend)
+        notices.add(1, "m", "deferred", 500)
+        first = await bounded(got.get())
+        told.append("silent")
+        assert await asyncio.wait_for(got.get(), 0.45) == first
+        await until(lambda: told == ["silent", 1])
+        notices.stop()
+        server.close()
+    asyncio.run(run())
