--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -18,7 +18,7 @@
 # A watch that has worked for so long and is lost is opened again so soon: that says nothing of a busy server.
 WORKED_S, SOON_S = 1.0, (0.02, 0.3)
 MOST_LIST = 4 << 20  # bytes of a list that comes in several lines
-NOTICE_S = 0.3  # a notice is answered at once by an agent on this machine: after this it is sent again, elsewhere
+NOTICE_S = 0.3  # an agent on this machine answers a notice at once: after this it is sent again, elsewhere
 BATCH = 200  # notices in one request
 log = logs.part("discovery")
 
