--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,12 +4,15 @@
 """
 
 import asyncio
+import contextlib
 import errno
 import fcntl
 import json
+import os
 import random
 import socket
 import termios
+import time
 
 import pytest
 from loopback import Client, Endpoint, Fleet, answer, bounded, courier, until
@@ -20,6 +23,7 @@
 from hopmill.net import calls as c
 from hopmill.net.accept import Acceptor, listening_socket
 from hopmill.net.discovery import Notices, Watch
+from hopmill.net.state import NAME, Held, Journal, JournalFull, frame, parse
 
 FLOOD = b"nonsense\r\n" * 100_000  # far more than the kernel holds of it
 
@@ -103,8 +107,10 @@
     handle = type(side)._handle
     for n, client in (("many", side), ("one", beside)):
         client._handle = lambda request, n=n, client=client: (order.append(n), handle(client, request))
+    beside.transport.pause_reading()
     await one.send(PING)
-    await until(lambda: beside.unheard or order)
+    await until(lambda: beside.unheard)
+    beside.transport.resume_reading()  # it is read in the next turn of the loop
     side.data_received(PING * 1000)  # in one read
     many.half_close()
     assert await one.some() == PONG
@@ -474,3 +480,80 @@
         notices.stop()
         server.close()
     asyncio.run(run())
+
+
+# What the next process finds
+
+
+@pytest.mark.parametrize("kind", ["safe", "keyed", "unsafe"])
+def test_a_process_that_was_killed_between_any_two_writes_owes_no_more_and_no_less(tmp_path, kind):
+    """The journal of one message is cut after each record, and inside each: that is what a kill leaves."""
+    async def life(folder):
+        async with Fleet(folder) as fleet:
+            e = await fleet.endpoint("a", answer(500), answer(500), answer(500))
+            client = await fleet.inside()
+            await client.put("m", kind=kind, key="k", life=60_000)
+            await e.call()
+            assert (await fleet.discovery.final())["id"] == "m"
+            await until(lambda: not fleet.host.journal.held)
+            return (folder / "state" / NAME).read_bytes()
+
+    async def after(folder, journal, records):
+        (folder / "state").mkdir(parents=True)
+        (folder / "state" / NAME).write_bytes(journal)
+        async with Fleet(folder) as fleet:
+            e = await fleet.endpoint("a")
+            await fleet.inside()
+            await until(lambda: not fleet.host.journal.held)
+            kinds = [record[0] for record in records]
+            ended = "final" in kinds or "over" in kinds
+            tried = kinds.count("try")
+            call = "take" in kinds and not ended and (tried < 3 if kind != "unsafe" else not tried)
+            notice = "take" in kinds and "over" not in kinds and not call
+            assert (e.calls.qsize(), fleet.discovery.finals.qsize()) == (call, notice), kinds
+            if call:
+                assert (await e.call())[1]["x-request-id"] == "m"
+
+    async def run():
+        whole = await life(tmp_path)
+        records, _ = parse(whole)
+        assert [record[0] for record in records][:2] == ["take", "try"] and records[-1][0] == "over"
+        ends = [0]
+        for record in records:
+            ends.append(ends[-1] + len(frame(record)))
+        for n, end in enumerate(ends):
+            await after(tmp_path / f"{n}", whole[:end], records[:n])
+            if n < len(records):  # the next one is torn
+                await after(tmp_path / f"{n}-torn", whole[:ends[n + 1] - 3], records[:n])
+    asyncio.run(run())
+
+
+def test_a_journal_as_large_as_it_may_be_is_read_in_a_moment(tmp_path):
+    # Readiness is owed within 10 s of a part of a core.
+    journal = Journal(tmp_path, 3_000_000)
+    with contextlib.suppress(JournalFull):
+        for n in range(100_000):
+            journal.take(Held(n, f"{n:016x}", 0, 0, 1, "", time.time() + 60, False, b"x" * 40))
+            journal.attempt([n], time.time(), "here")
+    journal.close()
+    assert os.path.getsize(tmp_path / NAME) > 500_000
+    began = time.process_time()
+    again = Journal(tmp_path, 3_000_000)
+    assert time.process_time() - began < 1.5 and len(again.held) == len(journal.held) > 5000
+    again.close()
+
+
+@courier
+async def test_what_was_read_and_not_handled_is_handled_by_the_process_that_takes_over(fleet):
+    await fleet.inside()
+    ours, theirs = socket.socketpair()
+    now = asyncio.get_running_loop().time()
+    read = [PING * 40 + PING[:5], [], 1, -1, 0, 0, True]  # RequestReader.carry
+    fleet.host.clients.resume(ours, read, now, now, now, True)
+    theirs.setblocking(False)
+    got, loop = b"", asyncio.get_running_loop()
+    while len(got) < len(PONG) * 40:
+        got += await bounded(loop.sock_recv(theirs, 4096))
+    theirs.sendall(PING[5:])
+    assert got + await bounded(loop.sock_recv(theirs, 4096)) == PONG * 41
+    theirs.close()
