Read a list whose names hold braces, indented or not; write nothing to a broken client

Need: an indented list was taken for whole by its braces alone, so that a name with one would have stopped the watch's news silently (found by reading, before a landing). Test: test_an_indented_list_is_read has such a name.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -217,7 +217,7 @@
         out = []
         while self.pending and self.pending[0].text:
             out.append(self.pending.popleft().text)
-        if out and not self.gone:
+        if out and not self.gone and not self.transport.is_closing():  # broken, and not lost yet
             self.transport.write(b"".join(out))
         if self.closing and not self.pending:
             self._leave()
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -107,6 +107,14 @@
             self.connection.close()
 
 
+def _reads(text: bytes) -> bool:
+    try:
+        json.loads(text)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
 class Watch(Link, Exchange):
     """Follows the list of endpoints from the last version on."""
 
@@ -136,11 +144,13 @@
                 self._whole(line)
 
     def _whole(self, line: bytes) -> None:
-        """A list may come indented, over several lines."""
+        """A list may come indented, over several lines: one is whole once it can be read."""
         self.part += line + b"\n"
-        if self.part.count(b"{") <= self.part.count(b"}") or len(self.part) > MOST_LIST:
-            text, self.part = self.part, b""
-            self._line(text)
+        begun = len(self.part) <= MOST_LIST and self.part.count(b"{") > self.part.count(b"}")
+        if begun and not (line.rstrip().endswith(b"}") and _reads(self.part)):
+            return
+        text, self.part = self.part, b""
+        self._line(text)
 
     def _line(self, line: bytes) -> None:
         try:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -430,7 +430,8 @@
         watch = Watch(asyncio.get_running_loop(), ("127.0.0.1", port), 3, told.append)
         watch.open()
         await bounded(lists.asked.get())
-        text = line(4, indent=2) + b"\n" + line(5) + line(6, indent=1)
+        odd = json.dumps({"rev": 5, "all": False, "targets": [{"uid": "s-{{"}]}).encode() + b"\n"
+        text = line(4, indent=2) + b"\n" + odd + line(6, indent=1)
         for start in range(0, len(text), cut):
             lists.say(text[start:start + cut])
         await until(lambda: len(told) == 3)
@@ -557,3 +558,21 @@
     theirs.sendall(PING[5:])
     assert got + await bounded(loop.sock_recv(theirs, 4096)) == PONG * 41
     theirs.close()
+
+
+@courier
+async def test_a_call_whose_last_byte_is_not_written_at_the_exit_may_be_sent_by_the_next_process(fleet):
+    listener = socket.create_server(("127.0.0.1", 0))
+    fleet.discovery.target("a", listener.getsockname()[1], 7)
+    client = await fleet.inside()
+    host, written = fleet.host, c.Link.written
+    try:
+        c.Link.written = property(lambda link: False)  # its endpoint's window is full
+        await client.put("m", kind="unsafe")
+        await until(lambda: host.calls.out and host.journal.held[1].trying_at)
+        assert host.calls.unwritten() == [1]
+        host.restart._exit()
+    finally:
+        c.Link.written = written
+    assert host.journal.held[1].may_have_run_at == 0
+    listener.close()
