Make nobody a voter who does not vote yet: neither it nor one that lost its folder came in

Ruled out: texts (none lacking), the proposers' ballots (they go on, nobody promises). Lines: Proposer._choose sent Accept for a document whose voters can't vote. Change: a document that brings voters is sent to be accepted only once those have promised, and a majority of them all; who is asked for a promise asks to be let in. One whom no voting majority knows is let in by that majority: the voter that it replaces may be dead. A replacement by one that does not answer now ends as refused, by name, in place of blocking the register. The play former-voter gets its first ballot through again (it met a later one).

--- a/hopmill/explorer/known.py
+++ b/hopmill/explorer/known.py
@@ -143,6 +143,7 @@
 
 def former_voter(world: World) -> None:
     """One that was a voter votes a change in, and those that still are know nothing of it."""
+    world.members["m1"].register.proposer.round = 50  # its first ballot gets through
     world._change(world.members["m1"], replace_voter("m0", "m2"))
     _only(world, (Prepare, Promise))
     _among(world, ["m1", "m2"])
--- a/hopmill/fleet/proposer.py
+++ b/hopmill/fleet/proposer.py
@@ -70,6 +70,7 @@
     refusal: str = ""  # why the change can't be made
     rounds: int = 0
     began: int = 0
+    to_come: set[str] = field(default_factory=set)  # that the next document makes voters
     lives: dict[str, int] = field(default_factory=dict)
 
 
@@ -97,7 +98,9 @@
     def tick(self, now: int) -> int | None:
         """Returns when to be called again."""
         while self.jobs and now >= self.jobs[0].until:
-            self._end("unknown" if self.jobs[0].maybe else "refused", now, why="no majority answers")
+            late = self.now_at.to_come.difference(self.now_at.promises) if self.now_at else ()
+            why = f"no vote from {', '.join(sorted(late))}" if late else "no majority answers"
+            self._end("unknown" if self.jobs[0].maybe else "refused", now, why=why)
         if self.jobs and now >= self.wake_at:
             self._again(now) if self.now_at and self.now_at.rounds < ROUNDS else self._begin(now)
         return min(self.wake_at, self.jobs[0].until) if self.jobs else None
@@ -126,8 +129,8 @@
                 self.out.append(Send(voter, Prepare(at.ballot)))
 
     def believed(self, at: Try) -> set[str]:
-        """Whom it has to ask: the voters known, and those that answers have named."""
-        return self.known.everyone.union(*(self._read(p).everyone for p in at.promises.values()))
+        """Whom it has to ask: the voters known, those that answers have named, and those to come."""
+        return self.known.everyone.union(at.to_come, *(self._read(p).everyone for p in at.promises.values()))
 
     def _read(self, promise: Promise) -> Document:
         return doc.decode(promise.document) if promise.document else self.initial
@@ -142,7 +145,7 @@
         at.base = self.newest(at)
         if at.base.agrees(at.promises) and self.known.agrees(at.promises):
             self._choose(at, newest.accepted, now)
-        else:
+        if at is self.now_at and at.next is None:
             self.out += [Send(v, Prepare(at.ballot)) for v in sorted(self.believed(at) - asked)]
 
     def newest(self, at: Try) -> Document:
@@ -167,6 +170,9 @@
             if at.refusal and not job.maybe:
                 self._end("refused", now, why=at.refusal)
                 return
+            if after is not None and not self.can_vote(after, at):
+                at.to_come = after.everyone
+                return
             at.next, at.changed = after or base, after is not None
             # Where an earlier try may still be taken up by another, the same document is accepted once more
             # under this ballot: from then on that try is no majority's any more.
@@ -179,6 +185,12 @@
         self.wake_at = now + self._again_us()
         self._send_accepts(at)
 
+    def can_vote(self, after: Document, at: Try) -> bool:
+        """Whether all that it makes voters vote already, and a majority with them. Accepted anywhere before
+        that, it names voters without whom neither they nor one that lost its folder could be let in."""
+        assert at.base is not None
+        return after.everyone - at.base.everyone <= set(at.promises) and after.agrees(at.promises)
+
     def own(self, ticket: str, base: Document) -> bool:
         """Whether the change was done already."""
         return ticket in base.recent
--- a/hopmill/fleet/voter.py
+++ b/hopmill/fleet/voter.py
@@ -136,11 +136,18 @@
         has never voted, and may begin; else it comes back after the latest that is known."""
         if not heard and self.others <= set(self.answers):
             self.claims, self.begins = 1 + self.chance.getrandbits(LIFE_BITS), True  # never one of before
-        elif heard and self.majority_of_others(self.answers):
-            self.claims = heard + 1
+        elif self.majority_of_others(self.answers) and (heard or self._is_to_come()):
+            self.claims = 1 + (heard or self.chance.getrandbits(LIFE_BITS))
         if self.claims:
             self.answers, self.asked_at = {}, -ASK_US
 
+    def _is_to_come(self) -> bool:
+        """Whether a majority votes and none of it knows this member as a voter, nor a life of it: whoever was
+        let in without being one was noted by a majority before its first vote."""
+        voting = {s: k for s, k in self.answers.items() if k.voting}
+        named = self.initial.everyone.union(*self._named_by_answers())
+        return self.me not in named and self.majority_of_others(voting)
+
     def let_in(self, answers: dict[str, Known]) -> bool:
         """One that begins is noted by all others; one that comes back, by a majority that votes."""
         if self.begins:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -302,6 +302,17 @@
     assert all(p.state == ALIVE for n in fleet.nodes for p in n.swim.peers.values())
 
 
+def test_one_who_does_not_answer_is_not_made_a_voter():
+    fleet, rows = Fleet(Plan(5)), []
+    fleet.run(2_000_000)
+    outcomes(fleet, rows, 0, replace_voter("c1", "c9"))
+    fleet.run(13_000_000)
+    assert [(r.state, r.why) for r in rows] == [("refused", "no vote from c9")]
+    outcomes(fleet, rows, 0, say("x", "on it goes"))
+    fleet.run(14_000_000)
+    assert rows[-1].state == "done" and fleet.nodes[0].register.document.former == ()
+
+
 def test_a_voter_is_replaced_while_the_fleet_works():
     fleet, rows = Fleet(Plan(4, 0.0, 7)), []
     fleet.run(2_000_000)
