Lose texts with an emptied folder in the explorer, write a text after its drop

Seen: 3 members: no change ends any more. The explorer cleared a member's texts and then found that not all was well, for they were missing, so the process went on without them: an emptied folder with a text was never tried. Ruled out: the voters (all vote), the ballots. Also read there: a node handed out the write of a text before a drop of the same one that was decided earlier (Node._governed), so a text wanted again was lost from the disk. Change: folder and texts go together (World._lose_folder); drops come before writes. The random schedules of the suite begin at fixed seeds, twice as many, around those that failed once: a verdict must not depend on the hour. The planted fault goes-on-while-closing is found at seed 149 (143 takes another course now).

--- a/hopmill/explorer/policy.py
+++ b/hopmill/explorer/policy.py
@@ -165,21 +165,20 @@
             return
         if self.founded and (self._govern(m).texts.writes or self._govern(m).dropped):
             store = self._govern(m).texts
+            for digest in self._govern(m).dropped:  # in the order in which a node has them done
+                self.disks[m.id].pop(digest, None)
+            self._govern(m).dropped = set()
             for digest, text in store.writes:
                 self.disks[m.id][digest] = text
                 store.written(digest, True)
             if store.writes:
                 store.writes = []
                 m.register.texts_came(m.clock(self.now))
-            for digest in self._govern(m).dropped:
-                self.disks[m.id].pop(digest, None)
-            self._govern(m).dropped = set()
         super()._written(m, count)
 
-    def _put_back(self, m: Member, arg: int) -> None:
-        if m.up and self._all_well(m):
-            self.disks[m.id] = {}
-        super()._put_back(m, arg)
+    def _lose_folder(self, m: Member) -> None:
+        super()._lose_folder(m)
+        self.disks[m.id] = {}
 
     def _all_well(self, m: Member) -> bool:
         """One voter at a time, those included that a change which is under way names; and one that lost its
--- a/hopmill/explorer/world.py
+++ b/hopmill/explorer/world.py
@@ -261,13 +261,16 @@
         """The folder is emptied, or an earlier copy put back, and the process starts anew. One voter at a
         time: a majority that forgets is beyond what any register can bear."""
         if m.up and self._all_well(m):
-            m.writes.clear()
             old = m.copies[arg // 4 % len(m.copies)] if m.copies and arg % 4 else b""
-            m.disk = b""
+            self._lose_folder(m)
             self._again(m, msgspec.msgpack.decode(old, type=Memory) if old else Memory(), False)
             if arg // 32 % 4:
                 self._calm()
 
+    def _lose_folder(self, m: Member) -> None:
+        m.writes.clear()
+        m.disk = b""
+
     def _all_well(self, m: Member) -> bool:
         voters = m.register.document.everyone | self.initial.everyone
         return all(self.members[v].register.voter.voting and self.members[v].disk for v in voters)
--- a/hopmill/fleet/node.py
+++ b/hopmill/fleet/node.py
@@ -249,11 +249,11 @@
         if self.govern is None:
             return []
         store = self.govern.texts
-        texts += [WriteText(digest, text) for digest, text in store.writes]
-        store.writes = []
-        if self.govern.dropped:
+        if self.govern.dropped:  # first: what is written now as well was wanted again after that
             texts.append(DropTexts(frozenset(self.govern.dropped)))
             self.govern.dropped = set()
+        texts += [WriteText(digest, text) for digest, text in store.writes]
+        store.writes = []
         return self.govern.take()
 
     def _own(self, body: Any, now: int) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -30,7 +30,9 @@
 from hopmill.fleet import policy as steps
 from hopmill.fleet import texts, watch, wire
 from hopmill.fleet.actions import Send
+from hopmill.fleet.node import DropTexts, WriteText
 from hopmill.fleet.policy import BACK, STAGE, Change, Ended, Few, Policy, Stage
+from hopmill.fleet.proposer import Proposer
 from hopmill.fleet.register import replace_voter
 from hopmill.fleet.settings import PolicyRule
 from hopmill.fleet.wire import Piece, Sums, WantText
@@ -43,7 +45,7 @@
 # The explorer
 
 # Each planted fault with the seed of a schedule of three members that shows it, or the play written for it.
-FOUND = {"gives-before-it-is-chosen": 112, "goes-on-while-closing": 143, "votes-without-the-text": 4,
+FOUND = {"gives-before-it-is-chosen": 112, "goes-on-while-closing": 149, "votes-without-the-text": 4,
          "gives-to-those-not-ready": 16}
 PLAYS = {"waits-no-lease-out": "forgotten-leases", "waits-too-short": "drifting-clocks",
          "clear-before-the-disk": "unwritten-vote", "gives-while-closing": "late-hold",
@@ -68,10 +70,39 @@
     assert not explore.run(explore.schedule(seed), 3, seed)
 
 
-@pytest.mark.parametrize("count", [3, 4, 5])
-def test_random_schedules_keep_the_promise_and_end_every_change(count):
-    first = random.Random(time.time_ns()).randrange(10**6)
-    assert explore.explore(60, first, count)[1] == [], f"{count} members, from seed {first}"
+# By members: a seed at which something was found once, with those before and after it. The same at every run:
+# a verdict must not depend on the day. Longer and other ones: hopmill fleet explore --policy --seed N.
+@pytest.mark.parametrize(("count", "first"), [(3, 138_900), (4, 134_500), (5, 138_080)])
+def test_random_schedules_keep_the_promise_and_end_every_change(count, first):
+    assert explore.explore(120, first, count)[1] == [], f"{count} members, from seed {first}"
+
+
+def test_nobody_is_made_a_voter_who_could_not_be_let_in(monkeypatch):
+    monkeypatch.setattr(Proposer, "can_vote", lambda self, after, at: True)
+    assert "somebody may not act" in explore.run(explore.schedule(134_568), 4, 134_568)
+
+
+def test_a_folder_that_is_emptied_takes_its_texts_along():
+    world = explore.PolicyWorld(3, 0)
+    m = world.members["m0"]
+    world._offer(m, 1)
+    world._calm()
+    assert world.disks["m0"] and m.disk and not m.writes
+    life = m.life
+    world._put_back(m, 0)
+    assert not world.disks["m0"] and m.life == life + 1 and not m.register.voter.voting
+
+
+def test_a_text_that_is_wanted_again_outlasts_its_drop():
+    fleet = Fleet(Plan(3, settings={"policy": PolicyRule(alone="hold")}))
+    fleet.run(1_000_000)
+    node = fleet.nodes[0]
+    govern = node.govern
+    digest = govern.texts.add(b"again")
+    govern.dropped.add(digest)
+    govern.texts.write(digest)
+    deeds = [a for a in node.take(fleet.now) if isinstance(a, (DropTexts, WriteText))]
+    assert [type(a) for a in deeds] == [DropTexts, WriteText]
 
 
 # The steps
