--- a/hopmill/cli/journal.py
+++ b/hopmill/cli/journal.py
@@ -4,7 +4,6 @@
 
 import json
 import sys
-import time
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,7 +12,7 @@
 from hopmill.cli.door import table
 from hopmill.net.state import FRAME, NAME, Contents, parse
 
-KINDS = {"take", "try", "miss", "over", "final", "drain", "hand", "zone", "known"}
+KINDS = {"take", "try", "miss", "over", "final", "drain", "hand", "zone", "known", "clock"}
 MOST_ROWS = 200
 
 
@@ -72,7 +71,7 @@
     except NoJournal as error:
         print(f"hopmill: {error}", file=sys.stderr)
         return 1
-    held, now = reading.contents.held.values(), time.time()
+    held, now = reading.contents.held.values(), reading.contents.scale.now()
     rows = [{"message": m.id, "class": m.cls, "partner": m.dest, "state": m.status or "open",
              "attempts": m.tries, "may_have_run": bool(m.may_have_run_at), "left_s": round(m.until - now, 1),
              "bytes": len(m.body)} for m in held]
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -127,8 +127,9 @@
     def clock(self) -> int:
         return time.monotonic_ns() // 1000
 
-    def _mono(self, wall: float) -> int:
-        return self.clock() + int((wall - time.time()) * 1e6)
+    def _mono(self, at: float) -> int:
+        """On the module's clock, of a time in the journal."""
+        return self.clock() + int((at - self.journal.scale.now()) * 1e6)
 
     def arrival(self, m: Held, out: bool = False, restored: bool = False) -> i.MessageArrived:
         ran, zone = (m.ran_at, m.ran_zone) if out else (m.may_have_run_at, m.may_have_run_zone)
@@ -215,7 +216,7 @@
     # Ends
 
     def guard(self, m: Held) -> None:
-        delay = max(0.0, m.until + OVERDUE_S - time.time())
+        delay = max(0.0, m.until + OVERDUE_S - self.journal.scale.now())
         self.guards[m.number] = self.loop.call_later(delay, self._overdue, m.number)
 
     def _overdue(self, number: int) -> None:
@@ -293,7 +294,7 @@
                     self._ended(item, endpoint, Outcome(result), 0)
 
     def _begin(self, endpoint: int, items: list[Item]) -> list[Item]:
-        now = time.time()
+        now = self.journal.scale.now()
         items = [x for x in items if (m := self.journal.held.get(x.number)) and self._repeats(m, now)]
         if not items:
             return items
--- a/hopmill/net/intake.py
+++ b/hopmill/net/intake.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from hopmill import interface as i
@@ -61,7 +60,7 @@
         if host.journal.open + len(self.arrived) >= host.s.max_held:
             reply.send(refusal(host.courier.come_back_us()))
             return
-        now = time.time()
+        now = host.journal.scale.now()
         self.numbers += 1
         m = Held(self.numbers, put.id, cls, tenant, put.dest, put.key, now + put.life_ms / 1e3,
                  put.resubmitted, put.body, put.order, ran_at=host.journal.key_ran_at(put.key))
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -8,7 +8,6 @@
 
 import os
 import struct
-import time
 import zlib
 from dataclasses import dataclass, fields
 from pathlib import Path
@@ -17,6 +16,7 @@
 import msgpack
 
 from hopmill import logs
+from hopmill.net.timescale import TimeScale, boot_id, by_the_wall
 
 FRAME = struct.Struct(">II")  # length, checksum
 NAME, FRESH = "messages.journal", "messages.journal.new"
@@ -25,6 +25,7 @@
 SPARE_BYTES = 8192  # kept free for all else
 OVER_S = 30.0  # how long the id of a message that is over is known
 KEYS_S = 60.0  # and an idempotency key past its window
+STEP_S = 0.001  # a scale that begins no later than this after the latest record was set back to it
 SMALL = 1 << 17  # a file under this is not worth compacting
 log = logs.part("journal")
 
@@ -35,7 +36,7 @@
 
 @dataclass
 class Held:
-    """A message that the courier owes something: its end, or a notice of it. Times are wall seconds."""
+    """A message that the courier owes something: its end, or a notice of it. Times are the journal's."""
 
     number: int
     id: str
@@ -100,7 +101,9 @@
     """What records add up to: open messages, owed notices and what is remembered of those that are over."""
 
     def __init__(self, key_window_s: float = 0.0) -> None:
-        self.key_s = key_window_s + KEYS_S
+        self.key_window_s, self.key_s = key_window_s, key_window_s + KEYS_S
+        self.scale = by_the_wall(0.0, "")  # until a record tells it
+        self.latest = 0.0  # time in a record
         self.held: dict[int, Held] = {}
         self.ids: dict[str, int] = {}
         self.over: dict[str, float] = {}  # id: when it was over
@@ -126,6 +129,7 @@
                 if m := self.held.get(number):
                     m.ran_zone, m.ran_at = m.may_have_run_zone, m.may_have_run_at
                     m.tries, m.trying_at = m.tries + 1, record[2]
+                    self.latest = max(self.latest, m.trying_at)
                     m.trying_zone = str(record[3]) if len(record) > 3 else ""
                     if m.key:
                         self._remember_key(m.key, m.may_have_run_at)
@@ -146,6 +150,8 @@
                     self.ids.pop(m.id, None)
                     self.live -= m.bytes
                     self._remember_over(m.id, record[2])
+        elif kind == "clock":
+            self.scale = TimeScale(str(record[1]), float(record[2]))
         elif kind == "drain":
             self.drained = bool(record[1])
         elif kind == "hand":
@@ -171,11 +177,12 @@
     def key_ran_at(self, key: str) -> float:
         """When the first attempt with this key that may have run was sent, 0 if none is known."""
         at = self.keys.get(key, 0.0) if key else 0.0
-        return at if time.time() - at < self.key_s else 0.0
+        return at if self.scale.now() - at < self.key_s else 0.0
 
     def _remember_over(self, ident: str, at: float) -> None:
         if self.over.pop(ident, None) is None:
             self.live += EACH
+        self.latest = max(self.latest, at)
         self.over[ident] = at  # the newest last
         # Not only when the file is rewritten: how often that is hangs on the disk limit, not on the ids' age.
         while at - self.over[oldest := next(iter(self.over))] >= OVER_S:
@@ -197,6 +204,7 @@
         self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self.size = self._restore()
+        self._set_scale()
 
     def _restore(self) -> int:
         data = self.path.read_bytes()
@@ -211,6 +219,28 @@
                 log.error("journal.unusable", error=error)
         return end
 
+    def _set_scale(self) -> None:
+        """That of this boot, where a process before this one wrote in it; else the wall clock's."""
+        if self.scale.holds():
+            return
+        self.scale = by_the_wall(self.latest, boot_id())
+        try:
+            if self.scale.now() <= self.latest + STEP_S:
+                self._forget_windows()
+                self.compact()  # with the scale in it, or the next start finds out anew
+            else:
+                self._write(["clock", self.scale.boot, self.scale.ahead])
+        except OSError as error:
+            log.error("journal.failed", error=error)
+
+    def _forget_windows(self) -> None:
+        """The wall clock went back between two boots: nobody knows how long the machine was down, so whatever
+        may have run is taken to be past its window."""
+        for m in self.held.values():
+            if m.may_have_run_at:
+                m.ran_zone, m.ran_at = m.may_have_run_zone, min(m.may_have_run_at, self.latest) - self.key_s
+        self.keys = {key: min(at, self.latest - self.key_window_s) for key, at in self.keys.items()}
+
     def close(self) -> None:
         os.close(self.file)
 
@@ -234,7 +264,7 @@
 
     def done(self, number: int) -> None:
         """Delivered, withdrawn, or refused before it was taken on: nothing more is owed."""
-        self._write(["over", [number], time.time()])
+        self._write(["over", [number], self.scale.now()])
 
     def final(self, number: int, status: str, again_ms: int) -> None:
         """A notice is owed."""
@@ -242,7 +272,7 @@
 
     def told(self, numbers: list[int]) -> None:
         """Notices were accepted."""
-        self._write(["over", numbers, time.time()])
+        self._write(["over", numbers, self.scale.now()])
 
     def drain(self, on: bool) -> None:
         """An operator sends the clients away, or calls them back."""
@@ -283,12 +313,13 @@
 
     def compact(self) -> None:
         """Write what is still needed into a new file and put it in the old one's place."""
-        now = time.time()
+        now = self.scale.now()
         self.over = {i: at for i, at in self.over.items() if now - at < OVER_S}
         self.keys = {k: at for k, at in self.keys.items() if now - at < self.key_s}
         self.live = sum(m.bytes for m in self.held.values()) + EACH * (len(self.over) + len(self.keys))
         self.live += sum(len(name) + EACH for name in (*self.out_by_hand, *self.zones_out))
-        parts = [frame(["known", self.last, self.over, self.keys]), frame(["drain", self.drained]),
+        parts = [frame(["clock", self.scale.boot, self.scale.ahead]),
+                 frame(["known", self.last, self.over, self.keys]), frame(["drain", self.drained]),
                  *(frame(["hand", uid, True]) for uid in self.out_by_hand),
                  *(frame(["zone", name, True]) for name in self.zones_out)]
         for m in self.held.values():
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -465,9 +465,9 @@
             await e.call()
             monkeypatch.setattr(fleet.host.pool, "lend", lambda *loan: asked.put_nowait(loan))
             loan = await bounded(asked.get())
-            now = time.time()
-            ran_at = fleet.host.journal.held[1].may_have_run_at
-            monkeypatch.setattr("hopmill.net.host.time.time", lambda: max(now, ran_at + wall))
+            scale, ran_at = fleet.host.journal.scale, fleet.host.journal.held[1].may_have_run_at
+            at = max(scale.now(), ran_at + wall) - scale.ahead
+            monkeypatch.setattr("hopmill.net.timescale.elapsed", lambda: at)
             lend(*loan)
             if calls == 1:
                 assert (await fleet.discovery.final())["id"] == "m"
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -16,9 +16,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from loopback import ROOT, Client, Discovery, answer, bounded, courier
+from loopback import ROOT, Client, Discovery, Fleet, answer, bounded, courier
 
 from hopmill.net.state import FRAME, Held, Journal, frame
+from hopmill.net.timescale import boot_id
 
 
 @courier
@@ -182,14 +183,82 @@
 
 
 def test_a_record_with_a_wrong_checksum_ends_the_journal(tmp_path):
-    good = frame(["known", 5, {}, {}])
+    known = frame(["known", 5, {}, {}])
+    good = frame(["clock", boot_id(), 0.0]) + known
     path = tmp_path / "messages.journal"
-    path.write_bytes(good + good[:-1] + b"\xff" + good)
+    path.write_bytes(good + known[:-1] + b"\xff" + good)
     journal = Journal(tmp_path, 100_000)
     assert journal.last == 5 and path.stat().st_size == len(good)
     journal.close()
 
 
+# The journal's time. A process that reads it finds a wall clock that was set meanwhile.
+
+@pytest.mark.parametrize("step_s", [-3600, 3600])
+def test_a_wall_clock_that_steps_between_two_processes_moves_no_times(tmp_path, monkeypatch, step_s):
+    async def run():
+        async with Fleet(tmp_path) as fleet:
+            client = await fleet.outside()
+            began = time.monotonic()
+            assert await client.put("waits", life=20_000) == "+OK"  # there is no endpoint yet
+            assert await client.put("nowhere", life=3_000, dest=8) == "+OK"
+            await fleet.kill()
+            wall = time.time
+            monkeypatch.setattr("hopmill.net.timescale.time.time", lambda: wall() + step_s)
+            e = await fleet.endpoint("a")
+            await fleet.inside()
+            assert (await e.call())[1]["x-request-id"] == "waits"
+            ended = await fleet.discovery.final()
+            assert ended["id"] == "nowhere" and time.monotonic() - began < 3.5
+    asyncio.run(run())
+
+
+def another_boot(monkeypatch, name, wall):
+    monkeypatch.setattr("hopmill.net.timescale.boot_id", lambda: name)
+    monkeypatch.setattr("hopmill.net.state.boot_id", lambda: name)
+    monkeypatch.setattr("hopmill.net.timescale.time.time", lambda: wall)
+
+
+@pytest.mark.parametrize("wall", [9_000.0, 1_000_000.0])
+def test_after_another_boot_the_wall_clock_is_believed_unless_it_went_back(tmp_path, monkeypatch, wall):
+    another_boot(monkeypatch, "one", 10_000.0)
+    journal = Journal(tmp_path, 100_000, 8.0)
+    for number, key in ((1, ""), (2, "k")):
+        journal.take(Held(number, f"m{number}", 0, 0, 7, key, 10_020.0, False, b"x"))
+    journal.attempt([2], journal.scale.now(), "here")
+    journal.close()
+    another_boot(monkeypatch, "two", wall)
+    scales = set()
+    for _ in range(2):  # the second finds a journal of its own boot
+        journal = Journal(tmp_path, 100_000, 8.0)
+        scales.add(journal.scale)
+        now, went_back = journal.scale.now(), wall < 10_000
+        assert journal.scale.boot == "two" and abs(now - (10_000 if went_back else wall)) < 5
+        assert journal.held[1].until > now if went_back else journal.held[1].until < now
+        # How long the machine was down is not known: nothing is sent again inside a window.
+        assert now - journal.held[2].may_have_run_at > 8 and now - journal.keys["k"] >= 8 - 1e-3
+        assert journal.held[2].may_have_run_at > 0 and journal.held[1].may_have_run_at == 0
+        journal.close()
+    assert len(scales) == 1
+
+
+def test_a_journal_of_the_format_before_takes_the_wall_clock_and_keeps_its_windows(tmp_path):
+    held = Held(1, "m1", 0, 0, 7, "k", time.time() + 20, False, b"x")
+    tried = ["try", [1], time.time() - 2, "z"]
+    (tmp_path / "messages.journal").write_bytes(frame(held.record()) + frame(tried))
+    journal = Journal(tmp_path, 100_000, 8.0)
+    assert abs(journal.scale.now() - time.time()) < 1 and journal.scale.holds()
+    assert 1 < journal.scale.now() - journal.held[1].may_have_run_at < 4
+    scale = journal.scale
+    for _ in range(3000):  # the record of it stays through a rewrite
+        journal.take(Held(2, "m2", 0, 0, 7, "", time.time() + 9, False, b"x"))
+        journal.done(2)
+    journal.close()
+    again = Journal(tmp_path, 100_000, 8.0)
+    assert again.scale == scale
+    again.close()
+
+
 @courier
 async def test_running_out_of_files_does_not_end_it(fleet):
     # More clients than descriptors: the longest unused are closed, the process and its calls go on.
@@ -277,7 +346,7 @@
 
 def test_ids_are_forgotten_as_they_age_and_not_only_at_a_rewrite(tmp_path, monkeypatch):
     now = [1000.0]
-    monkeypatch.setattr("hopmill.net.state.time.time", lambda: now[0])
+    monkeypatch.setattr("hopmill.net.timescale.elapsed", lambda: now[0])
     journal = Journal(tmp_path, 100_000_000)
     monkeypatch.setattr(journal, "compact", lambda: None)
     most = 0
