--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -520,7 +520,8 @@
     async def run():
         whole = await life(tmp_path)
         records, _ = parse(whole)
-        assert [record[0] for record in records][:2] == ["take", "try"] and records[-1][0] == "over"
+        kinds = [record[0] for record in records]
+        assert kinds[:3] == ["clock", "take", "try"] and kinds[-1] == "over"
         ends = [0]
         for record in records:
             ends.append(ends[-1] + len(frame(record)))
