--- a/review/rig.py
+++ b/review/rig.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -14,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
@@ -27,9 +29,23 @@
 READY_S = 30  # DEPLOY: clients come once all couriers are ready, or after 30 s
 KILL_AFTER_S = 3.7  # PROTOCOL: SIGKILL comes no sooner than 3.7 s after SIGTERM
 CLIENT_WAIT_S = 0.4  # PROTOCOL: the client waits 400 ms for its answer
+SLICE_S = 0.02  # in which a process with a part of a core runs once and stands still once
+PR_SET_PDEATHSIG = 1  # of prctl(2)
 LISTEN_FD = 4  # LATER, Upgrades: each process inherits the clients' listening socket as descriptor 4
 
 
+# Arguments: a descriptor, then a command line that is started with it as LISTEN_FD.
+MOVE_DESCRIPTOR = f"""
+import os, sys
+fd = int(sys.argv[1])
+if fd != {LISTEN_FD}:
+    os.dup2(fd, {LISTEN_FD})
+    os.close(fd)
+os.execv(sys.argv[2], sys.argv[2:])
+"""
+libc = ctypes.CDLL(None)
+
+
 class CannotRunError(Exception):
     """The case could not be played."""
 
@@ -231,6 +247,11 @@
     return command(b"MSG.PUT", key, message.encode(), fields.encode(), body)
 
 
+def end_with_parent() -> None:
+    """In the child process: have the kernel kill it when its parent ends for any reason."""
+    libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+
+
 def free_port() -> int:
     """Return a port that is free now."""
     with socket.create_server((HOST, 0)) as sock:
@@ -259,6 +280,21 @@
         (self.folder / "state").mkdir()
         self.configure(discovery)
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.is_closed = threading.Event()
+        self.limiter = threading.Thread(target=self._limit_cores, daemon=True)
+        if self.limits["cores"] < 1:
+            self.limiter.start()
+
+    def _limit_cores(self) -> None:
+        """Let each process run for its share of each SLICE_S, as a limit on its CPU time does."""
+        while not self.is_closed.is_set():
+            for number, pause_s in (
+                (signal.SIGSTOP, SLICE_S * (1 - self.limits["cores"])),
+                (signal.SIGCONT, SLICE_S * self.limits["cores"]),
+            ):
+                for process in list(self.processes):
+                    process.send_signal(number)  # does nothing if it has ended
+                time.sleep(pause_s)
 
     def configure(self, discovery: Discovery) -> None:
         """Write the configuration file, which names this agent of discovery."""
@@ -290,20 +326,22 @@
             "LB_OPERATOR": f"{HOST}:{operator}",
             "TMPDIR": str(temporary),
         }
-        line, passed = f"ulimit -n {self.limits['sockets']}; {self.run}", ()
+        arguments = ["/bin/sh", "-c", f"ulimit -n {self.limits['sockets']}; {self.run}"]
+        passed: tuple[int, ...] = ()
         if self.listener:
             passed = (self.listener.fileno(),)
             env["LB_LISTEN_FD"] = str(LISTEN_FD)
-            line = f"exec {LISTEN_FD}<&{passed[0]}; {line}" if passed[0] != LISTEN_FD else line
+            arguments = [sys.executable, "-c", MOVE_DESCRIPTOR, str(passed[0]), *arguments]
         with (self.folder / "log.txt").open("ab") as log:
             process = subprocess.Popen(
-                ["/bin/sh", "-c", line],
+                arguments,
                 cwd=ROOT,
                 env=env,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
                 pass_fds=passed,
+                preexec_fn=end_with_parent,
             )
         self.processes.append(process)
         return process, operator
@@ -313,7 +351,8 @@
         until = time.monotonic() + limit_s
         while time.monotonic() < until:
             if process.poll() is not None:
-                raise CannotRunError(f"a courier ended with {process.returncode}")
+                log = (self.folder / "log.txt").read_text()[-300:]
+                raise CannotRunError(f"a courier ended with {process.returncode}: {log}")
             with contextlib.suppress(OSError, TimeoutError):
                 reader, writer = await asyncio.open_connection(HOST, self.port)
                 writer.write(command(b"PING"))
@@ -331,7 +370,8 @@
         until = time.monotonic() + limit_s
         while time.monotonic() < until:
             if process.poll() is not None:
-                raise CannotRunError(f"a courier ended with {process.returncode}")
+                log = (self.folder / "log.txt").read_text()[-300:]
+                raise CannotRunError(f"a courier ended with {process.returncode}: {log}")
             with contextlib.suppress(OSError, TimeoutError):
                 reader, writer = await asyncio.open_connection(HOST, operator)
                 writer.write(b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -364,6 +404,9 @@
 
     def close(self) -> None:
         """End all processes that were started, and remove the folder."""
+        self.is_closed.set()
+        if self.limiter.is_alive():
+            self.limiter.join()
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
