--- a/hopmill/net/append_file.py
+++ b/hopmill/net/append_file.py
@@ -46,6 +46,11 @@
         with contextlib.suppress(OSError):  # the descriptor is closed all the same
             os.close(former)
 
+    def cut_off(self, size: int) -> None:
+        """Cut off what lies behind `size`, which is no more than the present size."""
+        self.size, self.may_have_torn_tail = size, True
+        self._cut_torn_tail()
+
     def close(self) -> None:
         """Close the file."""
         os.close(self.fd)
--- a/hopmill/net/journal.py
+++ b/hopmill/net/journal.py
@@ -6,6 +6,9 @@
 
 A record of something that has happened already (an end, an attempt that did not run) can't be refused if its
 write fails: it is applied, and owed to the file until the storage works again.
+
+After each record a compacted copy of the live entries still fits beside the file within the disk limit. What
+adds an entry is admitted only if its own end fits as well, so the file can always be compacted.
 """
 
 from __future__ import annotations
@@ -19,9 +22,13 @@
 
 from hopmill import logs
 from hopmill.net.append_file import AppendFile, write_all
+from hopmill.net.journal_compaction import (
+    FIXED_RECORDS_BYTES,
+    clock_record,
+    compacted_data,
+    dispensable_from,
+)
 from hopmill.net.journal_records import (
-    ENDED_ID_RETENTION_S,
-    ENTRY_RESERVE_BYTES,
     JournalContents,
     JournaledMessage,
     encode_record,
@@ -31,7 +38,9 @@
 
 JOURNAL_FILE, NEW_JOURNAL_FILE = "messages.journal", "messages.journal.new"
 BLOCK_BYTES = 512  # a file counts against the disk limit in whole blocks
-SPARE_BYTES = 8192  # reserved for all other records
+# Beside two copies of the live entries: room for the records between two compactions, those of ends included.
+SPARE_BYTES = 4096
+EXCLUSIONS_SPARE_BYTES = 4096  # kept free by messages, so that operators can exclude endpoints and zones
 # If a time scale that starts after a boot reads no later than the latest record plus this, the wall clock is
 # assumed to have been set back between the boots.
 SET_BACK_TOLERANCE_S = 0.001
@@ -69,6 +78,8 @@
         fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self.file = AppendFile(fd, self._restore())
         self._set_time_scale()
+        if not self._fits():  # written by a build or with a limit that allowed it
+            self.compact()
 
     def _restore(self) -> int:
         data = self.path.read_bytes()
@@ -92,13 +103,10 @@
                 self._expire_key_windows()
                 self.compact()  # writes the scale too, so that the next start does not repeat this
             else:
-                self._write(self._clock_record())
+                self._write(clock_record(self))
         except OSError as error:
             log.error("journal.failed", error=error)
 
-    def _clock_record(self) -> list[Any]:
-        return ["clock", self.scale.boot_id, self.scale.offset_s]
-
     def _expire_key_windows(self) -> None:
         """Treat whatever may have run as past its idempotency window.
 
@@ -125,13 +133,8 @@
 
     def record_message(self, message: JournaledMessage) -> None:
         """Record that the courier has accepted the message."""
-        if not self._has_room_for(message.reserved_bytes):
-            self.compact()  # drops ids and keys that have outlived their retention
-            if not self._has_room_for(message.reserved_bytes):
-                raise JournalFullError(
-                    f"no room in the journal for a message of {message.reserved_bytes} bytes"
-                )
-        self._write(message.to_record())
+        self._require_room_for(self.bytes_to_accept(message), EXCLUSIONS_SPARE_BYTES)
+        self._write(message.to_record(), self.bytes_to_accept(message))
 
     def record_attempt(self, numbers: list[int], at: float, zone: str = "") -> None:
         """Record that an attempt of these messages is about to be sent to an endpoint in that zone."""
@@ -163,18 +166,24 @@
 
     def record_endpoint_excluded(self, uid: str, excluded: bool) -> None:
         """Record that an operator excludes an endpoint, or lets it serve again."""
-        self._write(["hand", uid, excluded])
+        self._record_excluded("hand", self.excluded_endpoints, uid, excluded)
 
     def record_zone_excluded(self, name: str, excluded: bool) -> None:
         """Record that an operator excludes a zone, or lets it serve again."""
-        self._write(["zone", name, excluded])
+        self._record_excluded("zone", self.excluded_zones, name, excluded)
 
-    def _write(self, record: list[Any]) -> None:
+    def _record_excluded(self, kind: str, names: set[str], name: str, excluded: bool) -> None:
+        growth = self.bytes_to_exclude(names, name) if excluded else 0
+        if growth:
+            self._require_room_for(growth, 0)
+        self._write([kind, name, excluded], growth)
+
+    def _write(self, record: list[Any], growth: int = 0) -> None:
+        """Write and apply a record. growth: by how much it raises live_bytes at most."""
         if self.owed_data:  # only `write_owed` tries, not every request of a client
             raise OSError(errno.EIO, "earlier records could not be written yet")
         data = encode_record(record)
-        if self._should_compact_before(len(data)):
-            self.compact()
+        self._make_room(len(data), growth)
         self._append(data)
         self.apply(record)
 
@@ -189,11 +198,9 @@
 
     def write_owed(self) -> None:
         """Write the owed records, or a record without effect to learn whether the storage works again."""
-        if self._should_compact_before(len(self.owed_data)):
-            self.compact()
-        data = bytes(self.owed_data) or encode_record(self._clock_record())
         try:
-            self._append(data)
+            self._make_room(len(self.owed_data))  # a compaction writes them too
+            self._append(bytes(self.owed_data) or encode_record(clock_record(self)))
         except OSError:
             self.on_write_failed()
 
@@ -209,10 +216,6 @@
         return self.failing_since_s is not None or bool(self.owed_data)
 
     def _append(self, data: bytes) -> None:
-        if round_up_to_blocks(self.file.size + len(data)) > self.limit_bytes:
-            raise JournalFullError(
-                f"a record of {len(data)} bytes exceeds the disk limit of {self.limit_bytes} bytes"
-            )
         try:
             self.file.append(data)
         except OSError as error:
@@ -234,64 +237,73 @@
         self.owed_data.clear()
         self.owed_count = 0
 
-    def _has_room_for(self, extra_bytes: int) -> bool:
+    def _require_room_for(self, growth: int, spare_bytes: int) -> None:
+        """Raise JournalFullError unless entries of this size fit, with their ends and `spare_bytes` more."""
+        if not self._has_room_for(growth, spare_bytes):
+            self.forget_outlived()
+            if not self._has_room_for(growth, spare_bytes):
+                raise JournalFullError(f"no room in the journal for an entry of {growth} bytes")
+
+    def _has_room_for(self, growth: int, spare_bytes: int) -> bool:
         """Return whether two copies of all live entries with this one stay under the limit.
 
         A compaction writes the second copy beside the file before it replaces it.
         """
-        return round_up_to_blocks(2 * (self.live_bytes + extra_bytes) + SPARE_BYTES) <= self.limit_bytes
+        copy_bytes = round_up_to_blocks(self.live_bytes + growth + FIXED_RECORDS_BYTES)
+        return 2 * copy_bytes + SPARE_BYTES + spare_bytes <= self.limit_bytes
 
-    def _should_compact_before(self, extra_bytes: int) -> bool:
-        """Return whether the file has grown so far that it is compacted before a write of this size."""
-        if elapsed_s() < self.no_compaction_until_s:
-            return False
+    def _make_room(self, record_bytes: int, growth: int = 0) -> None:
+        """Compact before a record of this size if that is due; raise JournalFullError if it does not fit."""
         most_bytes = max(MIN_COMPACTION_BYTES, 4 * self.live_bytes)
-        return self.file.size + extra_bytes > most_bytes or not self._can_compact_after(extra_bytes)
+        if self.file.size + record_bytes > most_bytes or not self._fits(record_bytes, growth):
+            if elapsed_s() >= self.no_compaction_until_s:
+                self.compact()
+            if not self._fits(record_bytes, growth):
+                raise JournalFullError(
+                    f"a record of {record_bytes} bytes exceeds the disk limit of {self.limit_bytes} bytes"
+                )
 
-    def _can_compact_after(self, extra_bytes: int) -> bool:
+    def _fits(self, record_bytes: int = 0, growth: int = 0) -> bool:
         """Return whether a compacted copy still fits beside the file after a write of this size."""
-        return (
-            round_up_to_blocks(self.file.size + extra_bytes)
-            + round_up_to_blocks(self.live_bytes + SPARE_BYTES)
-            <= self.limit_bytes
-        )
+        copy_bytes = self.live_bytes + growth + FIXED_RECORDS_BYTES
+        file_bytes = self.file.size + record_bytes
+        return round_up_to_blocks(file_bytes) + round_up_to_blocks(copy_bytes) <= self.limit_bytes
 
     def compact(self) -> None:
-        """Write the live entries to a new file and replace the old one, if both fit under the limit.
+        """Write the live entries to a new file and replace the old one.
 
         If that fails the old file stays in use.
         """
-        now = self.scale.now()
-        self.ended_ids = {
-            message_id: at for message_id, at in self.ended_ids.items() if now - at < ENDED_ID_RETENTION_S
-        }
-        self.first_run_by_key = {
-            key: at for key, at in self.first_run_by_key.items() if now - at < self.key_retention_s
-        }
-        self.live_bytes = sum(
-            message.reserved_bytes for message in self.messages.values()
-        ) + ENTRY_RESERVE_BYTES * (len(self.ended_ids) + len(self.first_run_by_key))
-        self.live_bytes += sum(
-            len(name) + ENTRY_RESERVE_BYTES for name in (*self.excluded_endpoints, *self.excluded_zones)
-        )
-        records = [
-            encode_record(self._clock_record()),
-            encode_record(["known", self.last_number, self.ended_ids, self.first_run_by_key]),
-            encode_record(["drain", self.drained]),
-            *(encode_record(["hand", uid, True]) for uid in self.excluded_endpoints),
-            *(encode_record(["zone", name, True]) for name in self.excluded_zones),
-        ]
-        for message in self.messages.values():
-            records.append(encode_record(message.to_record()))
-        data = b"".join(records)
-        if round_up_to_blocks(self.file.size) + round_up_to_blocks(len(data)) > self.limit_bytes:
-            return
+        self.forget_outlived()
+        data = compacted_data(self)
         try:
+            self._cut_off_for(len(data))
             self._replace_file(data)
         except OSError as error:
-            log.error("journal.not_compacted", error=error)
+            log.error(
+                "journal.not_compacted",
+                error=error,
+                file_bytes=self.file.size,
+                live_bytes=self.live_bytes,
+                limit_bytes=self.limit_bytes,
+            )
             self.no_compaction_until_s = elapsed_s() + COMPACTION_RETRY_S
 
+    def _cut_off_for(self, copy_bytes: int) -> None:
+        """Shorten a file beside which a copy of this size does not fit. Raises OSError.
+
+        Only a file that was written under a higher limit, or by an earlier build, is that long.
+        """
+        max_bytes = self.limit_bytes - round_up_to_blocks(copy_bytes)
+        if round_up_to_blocks(self.file.size) <= max_bytes:
+            return
+        max_bytes -= max_bytes % BLOCK_BYTES
+        end = dispensable_from(self.path.read_bytes()[: self.file.size], self, max_bytes)
+        if end is None:
+            raise JournalFullError("no copy fits beside the file before its messages have ended")
+        log.warning("journal.cut_off", bytes=self.file.size - end, limit_bytes=self.limit_bytes)
+        self.file.cut_off(end)
+
     def _replace_file(self, data: bytes) -> None:
         new_fd = os.open(self.new_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
--- a/hopmill/net/journal_records.py
+++ b/hopmill/net/journal_records.py
@@ -25,6 +25,7 @@
 
 import struct
 import zlib
+from collections import Counter
 from dataclasses import dataclass, fields
 from typing import Any
 
@@ -34,7 +35,9 @@
 from hopmill.net.timescale import TimeScale, from_wall_clock
 
 RECORD_HEADER = struct.Struct(">II")  # length of the payload in bytes, its CRC-32
-ENTRY_RESERVE_BYTES = 160  # reserved for the later records of a message, and for each remembered name
+MESSAGE_RESERVE_BYTES = 160  # of a `take` record, without its strings
+ZONES_RESERVE_BYTES = 64  # of the names of both zones in a `take` record
+NAME_RESERVE_BYTES = 24  # of a remembered id, key or name in a compacted journal, without its characters
 ENDED_ID_RETENTION_S = 30.0  # ids of ended messages are recognized for this long
 KEY_EXTRA_RETENTION_S = 60.0  # idempotency keys are remembered for this long after their window
 log = logs.part("journal")
@@ -82,8 +85,15 @@
 
     @property
     def reserved_bytes(self) -> int:
-        """An upper bound on what the message takes in the journal, with its later records."""
-        return len(self.body) + len(self.id) + len(self.idempotency_key) + ENTRY_RESERVE_BYTES
+        """An upper bound on what the message takes in a compacted journal, also once only its id is kept."""
+        zone_bytes = len(self.latest_attempt_zone.encode()) + len(self.earlier_run_zone.encode())
+        return (
+            len(self.body)
+            + len(self.id)
+            + len(self.idempotency_key)
+            + max(ZONES_RESERVE_BYTES, zone_bytes)
+            + MESSAGE_RESERVE_BYTES
+        )
 
 
 def encode_record(record: list[Any]) -> bytes:
@@ -92,12 +102,19 @@
     return RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
-def parse_records(data: bytes) -> tuple[list[list[Any]], int]:
+def name_bytes(name: str) -> int:
+    """Return an upper bound on what a remembered id, key or name takes in a compacted journal."""
+    return len(name.encode()) + NAME_RESERVE_BYTES
+
+
+def parse_records(data: bytes, max_bytes: int | None = None) -> tuple[list[list[Any]], int]:
     """Return the complete records at the start of `data`, and the offset at which they end.
 
-    A record with a correct checksum that cannot be decoded is logged and skipped.
+    A record with a correct checksum that cannot be decoded is logged and skipped. max_bytes: records that end
+    later are left out.
     """
     records, offset = [], 0
+    data = data[:max_bytes]
     while offset + RECORD_HEADER.size <= len(data):
         size, checksum = RECORD_HEADER.unpack_from(data, offset)
         payload = data[offset + RECORD_HEADER.size : offset + RECORD_HEADER.size + size]
@@ -129,8 +146,12 @@
         self.drained = False  # whether an operator drains the courier of clients
         self.excluded_endpoints: set[str] = set()  # uids, excluded by an operator
         self.excluded_zones: set[str] = set()  # names, excluded by an operator
-        # live_bytes: upper bound on what a compacted journal takes, with the reserve for later records.
-        self.live_bytes = self.last_number = 0
+        # Upper bound on what a compacted journal takes beside its FIXED_RECORDS_BYTES. Of a message, its end
+        # and its key are included from the beginning: only `take`, `hand` and `zone` records can raise it
+        # (and a `try` in zones with names longer than ZONES_RESERVE_BYTES).
+        self.live_bytes = 0
+        self.last_number = 0
+        self.open_keys: Counter[str] = Counter()  # idempotency key: how many of `messages` have it
         self.open_count = 0  # messages without a final status; `messages` also has those that owe a notice
 
     def apply(self, record: list[Any]) -> None:
@@ -168,19 +189,35 @@
                 self._remember_key(key, at)
 
     def _apply_message(self, record: list[Any]) -> None:
-        """Add an accepted message."""
+        """Add an accepted message, in place of an earlier one with its number."""
         message = JournaledMessage(*record[1:])
-        if message.number in self.messages:
-            self.open_count -= not self.messages[message.number].status
+        self._remove_message(message.number)
         self.messages[message.number], self.numbers_by_id[message.id] = message, message.number
         self.open_count += not message.status
         self.last_number = max(self.last_number, message.number)
-        self.live_bytes += message.reserved_bytes
+        self.live_bytes += self.bytes_to_accept(message)
+        if message.idempotency_key:
+            self.open_keys[message.idempotency_key] += 1
+
+    def _remove_message(self, number: int) -> JournaledMessage | None:
+        message = self.messages.pop(number, None)
+        if message is None:
+            return None
+        self.open_count -= not message.status
+        self.numbers_by_id.pop(message.id, None)
+        self.live_bytes -= message.reserved_bytes
+        if key := message.idempotency_key:
+            self.open_keys[key] -= 1
+            if not self.open_keys[key]:
+                del self.open_keys[key]
+                self._release_key(key)
+        return message
 
     def _apply_attempt(self, record: list[Any]) -> None:
         """Note an attempt of messages, which may run from now on."""
         for number in record[1]:
             if message := self.messages.get(number):
+                reserved_before = message.reserved_bytes
                 message.earlier_run_zone, message.earlier_run_at = (
                     message.may_have_run_zone,
                     message.may_have_run_at,
@@ -188,6 +225,7 @@
                 message.attempts, message.latest_attempt_at = message.attempts + 1, record[2]
                 self.latest_at = max(self.latest_at, message.latest_attempt_at)
                 message.latest_attempt_zone = str(record[3]) if len(record) > 3 else ""
+                self.live_bytes += message.reserved_bytes - reserved_before
                 if message.idempotency_key:
                     self._remember_key(message.idempotency_key, message.may_have_run_at)
 
@@ -197,24 +235,50 @@
             message.latest_attempt_at = 0.0
             key = message.idempotency_key
             if key and not message.earlier_run_at and self.first_run_by_key.pop(key, None) is not None:
-                self.live_bytes -= ENTRY_RESERVE_BYTES
+                self._release_key(key)
 
     def _apply_over(self, record: list[Any]) -> None:
         """Forget messages for which nothing is owed, and remember their ids."""
         for number in record[1]:
-            if message := self.messages.pop(number, None):
-                self.open_count -= not message.status
-                self.numbers_by_id.pop(message.id, None)
-                self.live_bytes -= message.reserved_bytes
+            if message := self._remove_message(number):
                 self._remember_ended_id(message.id, record[2])
 
+    def bytes_to_accept(self, message: JournaledMessage) -> int:
+        """Return by how much live_bytes grows if the message is accepted."""
+        key = message.idempotency_key
+        return message.reserved_bytes + (name_bytes(key) if key and not self._is_key_counted(key) else 0)
+
+    def bytes_to_exclude(self, names: set[str], name: str) -> int:
+        """Return by how much live_bytes grows if the name is added to the excluded ones."""
+        return 0 if name in names else name_bytes(name)
+
+    def count_live_bytes(self) -> int:
+        """Return live_bytes, counted anew."""
+        names = (
+            *self.ended_ids,
+            *(self.first_run_by_key.keys() | self.open_keys.keys()),
+            *self.excluded_endpoints,
+            *self.excluded_zones,
+        )
+        return sum(message.reserved_bytes for message in self.messages.values()) + sum(map(name_bytes, names))
+
+    def forget_outlived(self) -> None:
+        """Forget ids and keys that have outlived their retention."""
+        now = self.scale.now()
+        for message_id in [i for i, at in self.ended_ids.items() if now - at >= ENDED_ID_RETENTION_S]:
+            del self.ended_ids[message_id]
+            self.live_bytes -= name_bytes(message_id)
+        for key in [key for key, at in self.first_run_by_key.items() if now - at >= self.key_retention_s]:
+            del self.first_run_by_key[key]
+            self._release_key(key)
+
     def mark_ended(self, message: JournaledMessage, status: str, retry_after_ms: int) -> None:
         """Set the final status of a message; a notice of it is owed from now on."""
         self.open_count -= not message.status
         message.status, message.retry_after_ms = status, retry_after_ms
 
     def _set_excluded(self, names: set[str], name: str, excluded: bool) -> None:
-        self.live_bytes += (len(name) + ENTRY_RESERVE_BYTES) * (excluded - (name in names))
+        self.live_bytes += name_bytes(name) * (excluded - (name in names))
         (names.add if excluded else names.discard)(name)
 
     def key_first_run_at(self, key: str) -> float:
@@ -224,15 +288,25 @@
 
     def _remember_ended_id(self, message_id: str, at: float) -> None:
         if self.ended_ids.pop(message_id, None) is None:
-            self.live_bytes += ENTRY_RESERVE_BYTES
+            self.live_bytes += name_bytes(message_id)
         self.latest_at = max(self.latest_at, at)
         self.ended_ids[message_id] = at  # keeps the dict in order of time
-        # compact() is not enough: how often it runs depends on the disk limit, not on the age of the ids.
+        # A compaction is not enough: how often it runs depends on the disk limit, not on the age of the ids.
         while at - self.ended_ids[oldest := next(iter(self.ended_ids))] >= ENDED_ID_RETENTION_S:
             del self.ended_ids[oldest]
-            self.live_bytes -= ENTRY_RESERVE_BYTES
+            self.live_bytes -= name_bytes(oldest)
 
     def _remember_key(self, key: str, at: float) -> None:
         if key not in self.first_run_by_key:
-            self.live_bytes += ENTRY_RESERVE_BYTES
+            if not self._is_key_counted(key):
+                self.live_bytes += name_bytes(key)
             self.first_run_by_key[key] = at
+
+    def _is_key_counted(self, key: str) -> bool:
+        """Return whether live_bytes has the key's entry: from the acceptance of a message with it on."""
+        return key in self.first_run_by_key or key in self.open_keys
+
+    def _release_key(self, key: str) -> None:
+        """Take a key's entry out of live_bytes, unless it may still be remembered."""
+        if not self._is_key_counted(key):
+            self.live_bytes -= name_bytes(key)
--- a/hopmill/net/metrics.py
+++ b/hopmill/net/metrics.py
@@ -140,6 +140,11 @@
             ("hopmill_slots_used", "Calls in flight.", host.courier.state.calls_in_flight),
             ("hopmill_slots", "Maximum number of calls in flight.", host.settings.slots),
             ("hopmill_journal_bytes", "Size of the journal.", host.journal.file.size),
+            (
+                "hopmill_journal_live_bytes",
+                "Upper bound on the size of the journal after a compaction.",
+                host.journal.live_bytes,
+            ),
             (
                 "hopmill_journal_failing",
                 "1 while writes to the journal fail, or records are owed to it.",
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -19,7 +19,12 @@
 from loopback import ROOT, Client, Discovery, Fleet, answer, bounded, courier
 
 from hopmill.net.journal import Journal
-from hopmill.net.journal_records import RECORD_HEADER, JournaledMessage, encode_record
+from hopmill.net.journal_records import (
+    NAME_RESERVE_BYTES,
+    RECORD_HEADER,
+    JournaledMessage,
+    encode_record,
+)
 from hopmill.net.timescale import boot_id
 
 
@@ -376,7 +381,7 @@
         journal.record_done(number)
         most = max(most, len(journal.ended_ids))
     assert most <= 30 / 0.1 + 1 and "m1999" in journal.ended_ids
-    assert journal.live_bytes == 160 * len(journal.ended_ids)
+    assert journal.live_bytes == sum(len(ident) + NAME_RESERVE_BYTES for ident in journal.ended_ids)
     journal.close()
 
 
