Read nothing behind an answer as the answer to a later call

The good answer counts, and what follows it is never the answer to a later call.

Fix: a connection rests for 20 ms after an answer, and a call that finds only such ones waits for one (net/settle_wait.py); before the write it is asked once more for unread bytes; what comes while a request is incomplete ends the connection, and the call, which has not run, goes over another one. The attempt's record is taken back, nothing is judged of the endpoint. Notices rest in the same way; a watch never shares its connection. Closed connections are counted as `sent more than its answer`.

--- a/hopmill/net/attempts.py
+++ b/hopmill/net/attempts.py
@@ -101,6 +101,10 @@
         margin_us = KEY_WINDOW_MARGIN_TICKS * self.host.settings.tick_us
         return now < ran_at + (window_us - margin_us) / 1e6
 
+    def take_back(self, item: CallItem) -> None:
+        """Record that an attempt was not written; it begins once more on another connection."""
+        self.host.journal.record_not_run(item.number)
+
     def end(self, item: CallItem, endpoint: int, outcome: Outcome, latency_us: int) -> None:
         """Record the end of an attempt and report it to the decision core."""
         host = self.host
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -69,6 +69,7 @@
 
     may_write: Callable[[int], bool]  # false while the endpoint drains or has announced a wait
     begin: Callable[[int, list[CallItem]], list[CallItem]]  # endpoint, items: those that may be written now
+    not_written: Callable[[CallItem], None]  # item: it had begun and was not written; it begins once more
     ended: Callable[[CallItem, int, Outcome, int], None]  # item, endpoint, outcome, latency (us)
     retry_after: Callable[[int, int], None]  # endpoint, wait (us); called before any outcome
     probed: Callable[[int, Result, int], None]
@@ -199,6 +200,10 @@
         self.finish_all(self.unread_outcome(Result.RESET if written else Result.CONNECT_FAILED))
         self.calls.release(self)
 
+    def surplus_received(self) -> None:
+        """Start again on another connection: the request on this one was not complete."""
+        self.calls.start_again(self)
+
     def unread_outcome(self, result: Result) -> Outcome:
         """The outcome of a call whose response head could not be read completely.
 
@@ -337,10 +342,21 @@
 
     def _start(self, call: Call) -> None:
         self.in_flight.add(call)
+        earlier = call.checkout
         checkout = self.pool.check_out(
             call.endpoint, lambda connection, error: self._checked_out(call, connection, error)
         )
-        call.checkout = checkout if call in self.in_flight else None  # it may have ended already
+        if call.checkout is earlier:  # it may have started again already, or ended
+            call.checkout = checkout if call in self.in_flight else None
+
+    def start_again(self, call: Call) -> None:
+        """Start a call again whose connection can't be used, and whose last byte is not written."""
+        for item in call.items:
+            if item.begun and not item.ended:
+                item.begun = False
+                self.hooks.not_written(item)
+        call.connection = None
+        self._start(call)
 
     def _checked_out(self, call: Call, connection: PooledConnection | None, error: OSError | None) -> None:
         if connection is not None:
@@ -373,6 +389,12 @@
             if not item.begun:
                 call.finish(item, Outcome(Result.MOOT))
         items = call.items = begun
+        if (
+            connection.idle_us >= 0 and connection.stale()
+        ):  # asked again, since recording the attempt took time
+            self.pool.drop_stale(connection)
+            self.start_again(call)
+            return
         if call.path:
             connection.request("GET", call.path, [], b"", call)
         elif len(items) == 1:
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +18,7 @@
 from hopmill.net.config import Address
 from hopmill.net.http import Connection, Exchange
 from hopmill.net.list_reader import ListReader
+from hopmill.net.settle_wait import SETTLE_S
 
 SILENCE_TIMEOUT_S = 3.2  # discovery sends an empty line every 2 s; the watch is reopened after this silence
 CONNECT_TIMEOUT_S = 1.0
@@ -206,6 +208,7 @@
         self.is_sending = False
         self.batch_size = MAX_NOTICES_PER_REQUEST
         self.status = 0
+        self.answered_at = -math.inf  # loop time of the last answer
 
     def add(self, number: int, message_id: str, status: str, retry_after_ms: int) -> None:
         """Queue the notice of one message."""
@@ -231,6 +234,8 @@
         connection = self.connection
         if connection is None or connection.closed or connection.stale():
             self.open()
+        elif (settles_s := self.answered_at + SETTLE_S - self.loop.time()) > 0:
+            self.set_timer(settles_s, self._send_next)  # what follows the last answer may be under way
         else:
             self.connected()
 
@@ -252,6 +257,7 @@
 
         A single notice that is rejected is logged and dropped as well, since it would be rejected each time.
         """
+        self.answered_at = self.loop.time()
         if self.status == 204:
             self.backoff.reset()
             self._finish_batch()
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -87,6 +87,7 @@
         hooks = CallHooks(
             self.attempts.may_write,
             self.attempts.record,
+            self.attempts.take_back,
             self.attempts.end,
             lambda endpoint, wait_us: self.registry.set_retry_after(endpoint, self.clock() + wait_us),
             self.attempts.end_probe,
--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -48,6 +48,13 @@
         written: whether the last byte of the request had been written.
         """
 
+    def surplus_received(self) -> None:
+        """The peer had sent more than its former answer; the request is not complete, so it has not run.
+
+        The connection is closed.
+        """
+        self.connection_lost(False)
+
 
 class Connection:
     """Carries one exchange at a time."""
@@ -64,6 +71,8 @@
         self.exchange: Exchange | None = None
         self.on_close: Callable[[], None] = lambda: None
         self.closed = self.broke_during_exchange = False  # closed with an exchange under way
+        self.has_surplus = False  # the peer has sent more than its answers
+        self._has_answered = False
         self._outgoing, self._sent_bytes, self._received = b"", 0, bytearray()
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = sock or socket.socket(family, socket.SOCK_STREAM)  # may raise OSError, see LOCAL_ERRORS
@@ -122,9 +131,9 @@
         done(None)
 
     def stale(self) -> bool:
-        """Return whether the peer has closed this idle connection. Unread bytes count as closed."""
+        """Return whether this idle connection can't be used: the peer has closed it, or bytes lie unread."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            self.has_surplus = self.has_surplus or bool(self.sock.recv(1, socket.MSG_PEEK))
         except BlockingIOError:
             return self.closed
         except OSError:
@@ -172,11 +181,20 @@
         except OSError:
             data = b""
         if self.exchange is None:  # end of stream, or bytes that no request asked for
+            self.has_surplus = self.has_surplus or bool(data)
             self.close()
+        elif data and self._has_answered and not self.written:
+            self._end_by_surplus(self.exchange)
         else:
             self._process_received(data)
         return True
 
+    def _end_by_surplus(self, exchange: Exchange) -> None:
+        """End an exchange whose request is not complete: what has come belongs to the answer before."""
+        self.has_surplus = True
+        self.close()
+        exchange.surplus_received()
+
     def _process_received(self, data: bytes) -> None:
         self._received += data[: MAX_KEPT_BYTES - len(self._received)]
         try:
@@ -205,9 +223,10 @@
                 self._fail()
 
     def _end_exchange(self, exchange: Exchange) -> None:
-        self.exchange = None
+        self.exchange, self._has_answered = None, True
         is_reusable = self.written and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        if is_reusable and not self.http.trailing_data[0]:
+        self.has_surplus = bool(self.http.trailing_data[0])
+        if is_reusable and not self.has_surplus:
             self.http.start_next_cycle()
         else:
             self.close()
--- a/hopmill/net/pool.py
+++ b/hopmill/net/pool.py
@@ -27,6 +27,7 @@
     PooledConnection,
     carry_connection,
 )
+from hopmill.net.settle_wait import SettleWait
 from hopmill.net.upgrade import HandoverPayload
 
 MAX_NEWS_DELAY_S = 1.0  # from the restart of an endpoint until discovery tells of it
@@ -61,6 +62,7 @@
         self.idle: OrderedDict[PooledConnection, None] = OrderedDict()  # of all endpoints, longest idle first
         self.orphaned_connections: set[PooledConnection] = set()  # in use, endpoint removed or moved
         self.connect_retry = ConnectRetry(loop, self.connect_s, self._try_again, self._give_up)
+        self.settle_wait = SettleWait(loop, self._serve)
         self.idle_changed: set[int] = set()  # endpoints with idle connections not reported yet
         self.removed_totals: Counter[str] = Counter()  # counters of endpoints no longer listed
         self.expiry_timer: asyncio.TimerHandle | None = None
@@ -121,6 +123,7 @@
         if self.expiry_timer:
             self.expiry_timer.cancel()
         self.connect_retry.close()
+        self.settle_wait.close()
         for entry in self.endpoints.values():
             for connection in list(entry.connections):
                 self.drop(connection, CloseReason.ENDPOINT_REMOVED)
@@ -131,18 +134,22 @@
 
     def check_out(self, endpoint: int, done: CheckoutCallback) -> Checkout:
         """Hand out the most recently used idle connection, so that surplus ones expire; else opens one."""
-        checkout, entry = Checkout(endpoint, done), self.endpoints.get(endpoint)
+        checkout = Checkout(endpoint, done)
+        self._serve(checkout)
+        return checkout
+
+    def _serve(self, checkout: Checkout) -> None:
+        entry = self.endpoints.get(checkout.endpoint)
         if entry and (connection := self._take_idle(entry)):
             checkout.complete(connection, None)
-        else:
+        elif not entry or not self.settle_wait.add(checkout, entry):
             self._open(checkout)
-        return checkout
 
     def cancel(self, checkout: Checkout) -> None:
         """End a checkout that its call no longer wants, and close a connection being opened for it."""
         if checkout.timer:
             checkout.timer.cancel()
-        was_waiting = self.connect_retry.discard(checkout)
+        was_waiting = self.settle_wait.discard(checkout) or self.connect_retry.discard(checkout)
         if (
             not was_waiting
             and checkout.connection is not None
@@ -169,13 +176,12 @@
             )
 
     def _take_idle(self, entry: EndpointConnections) -> PooledConnection | None:
-        while entry.idle:
-            connection = next(reversed(entry.idle))
+        while connection := self._newest_settled(entry):
             is_trusted = self._is_trusted(entry, connection)
             if not is_trusted and entry.trial_connection:
                 return None  # if all are dead, one call finds out for all
             if connection.stale():
-                self.drop(connection, CloseReason.CLOSED_BY_ENDPOINT)
+                self.drop_stale(connection)
                 continue
             self._remove_from_idle(connection, entry)
             now = self.loop.time()
@@ -189,6 +195,9 @@
             return connection
         return None
 
+    def _newest_settled(self, entry: EndpointConnections) -> PooledConnection | None:
+        return next((c for c in reversed(entry.idle) if self.settle_wait.is_settled(c.idle_at)), None)
+
     def _is_trusted(self, entry: EndpointConnections, connection: PooledConnection) -> bool:
         """Return whether an idle connection is known to be alive.
 
@@ -363,6 +372,11 @@
         connection.reason = connection.reason or reason
         connection.close()
 
+    def drop_stale(self, connection: PooledConnection) -> None:
+        """Close a connection that its endpoint has closed, or on which it sent more than its answer."""
+        reason = CloseReason.SURPLUS_DATA if connection.has_surplus else CloseReason.CLOSED_BY_ENDPOINT
+        self.drop(connection, reason)
+
     def _remove_from_idle(self, connection: PooledConnection, entry: EndpointConnections) -> None:
         entry.idle.pop(connection, None)
         self.idle.pop(connection, None)
@@ -387,6 +401,8 @@
             connection.reason = (
                 CloseReason.NEVER_CONNECTED
                 if connection.state is ConnectionState.OPENING
+                else CloseReason.SURPLUS_DATA
+                if connection.has_surplus
                 else CloseReason.BROKE_DURING_CALL
                 if connection.broke_during_exchange
                 else CloseReason.CLOSED_BY_ENDPOINT
--- a/hopmill/net/pooled_connection.py
+++ b/hopmill/net/pooled_connection.py
@@ -35,6 +35,7 @@
     OVER_LIMIT = "over the endpoint's number"  # more idle connections than are kept to this endpoint
     EVICTED = "room for others"  # idle longest, for lack of descriptors or over the number for all endpoints
     CLOSED_BY_ENDPOINT = "ended by the endpoint"  # closed from outside while idle
+    SURPLUS_DATA = "sent more than its answer"  # a second copy, or noise
     BROKE_DURING_CALL = "broke under a call"
     CALL_ABANDONED = "call given up"  # closed by the call that used it or waited for it
     NEVER_CONNECTED = "never came up"  # refused, or not established in time
--- a/hopmill/soak/agent.py
+++ b/hopmill/soak/agent.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from hopmill.soak.surplus import SurplusSender
 from hopmill.standin.discovery import Discovery
 
 MUTE_TOLD_S = 6.0  # a silent watch counts as told of what it misses this long after it fell silent
@@ -20,7 +21,8 @@
 
     on_told: called with an endpoint that drains or is gone and the time from which that counts as told.
     on_told_later: called if the courier could not be told before this later time after all.
-    on_listed: called when something of the list is written to the courier.
+    on_listed: called when something of the list is written to the courier. surplus: follows some answers to
+    notices.
     """
 
     def __init__(
@@ -29,8 +31,10 @@
         on_told: Callable[[str, float], None],
         on_told_later: Callable[[str, float], None],
         on_listed: Callable[[], None],
+        surplus: SurplusSender,
     ) -> None:
         super().__init__(on_notice)
+        self.called, self.answered = surplus.called, surplus.answered
         self.on_told, self.on_told_later, self.on_listed = on_told, on_told_later, on_listed
         self.is_down = False
         self.missed: list[dict[str, Any]] = []  # changes while it is down
--- a/hopmill/soak/endpoints.py
+++ b/hopmill/soak/endpoints.py
@@ -11,6 +11,7 @@
 
 from hopmill.soak.agent import Agent
 from hopmill.soak.records import SoakLedger
+from hopmill.soak.surplus import SurplusSender
 from hopmill.standin.partner import PartnerEndpoint, PartnerSettings, RateLimit
 from hopmill.standin.server import HOST
 
@@ -21,7 +22,17 @@
 
 
 class SoakEndpoint(PartnerEndpoint):
-    """An endpoint on which each connection begins with a handshake."""
+    """An endpoint on which each connection begins with a handshake, and some answers bring more."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.surplus = SurplusSender(self.rng)
+        self.called = self.surplus.called
+
+    def answered(self, writer: asyncio.StreamWriter, text: bytes) -> None:
+        """Send more behind some of the good answers."""
+        if text.startswith(b"HTTP/1.1 200"):
+            self.surplus.answered(writer, text)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Delay the first call of the connection, then answer its calls."""
--- a/hopmill/soak/run.py
+++ b/hopmill/soak/run.py
@@ -20,6 +20,7 @@
 from hopmill.soak.endpoints import Endpoints
 from hopmill.soak.records import SoakLedger
 from hopmill.soak.schedule import AGENT_KINDS, CALL_KINDS, Fault, Kind
+from hopmill.soak.surplus import SurplusSender
 from hopmill.standin.load import LoadGenerator
 from hopmill.standin.loopback_system import MESSAGE_CLASSES
 from hopmill.standin.partner import PartnerSettings
@@ -69,6 +70,7 @@
             lambda uid, at_s: self.ledger.record_told(name, uid, at_s),
             lambda uid, at_s: self.ledger.record_told_later(name, uid, at_s),
             lambda: self.ledger.record_listed(name),
+            SurplusSender(random.Random(f"agent {number} {self.options.seed}")),
         )
         await agent.start()
         for target in self.endpoints.targets.values():
--- a/hopmill/standin/discovery.py
+++ b/hopmill/standin/discovery.py
@@ -74,13 +74,22 @@
             if path.startswith("/discovery"):
                 await self._watch(path, reader, writer)
                 return
+            self.called(writer)
             status = self.notice_status.pop(0) if self.notice_status else 204
             for line in body.splitlines():
                 notice = json.loads(line)
                 self.finals.put_nowait((status, notice))
                 if status == 204:
                     self.on_notice(notice)
-            writer.write(b"HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n" % status)
+            text = b"HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n" % status
+            writer.write(text)
+            self.answered(writer, text)
+
+    def called(self, writer: asyncio.StreamWriter) -> None:
+        """Notices have arrived on a connection; a soak overrides this."""
+
+    def answered(self, writer: asyncio.StreamWriter, text: bytes) -> None:
+        """Their answer has been written; a soak overrides this."""
 
     async def _watch(self, path: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Send the full list, then changes and heartbeats until the courier closes the connection."""
--- a/hopmill/standin/partner.py
+++ b/hopmill/standin/partner.py
@@ -151,7 +151,16 @@
             _, path, headers, body = await read_request(reader)
             while self.trouble == "silent":
                 await asyncio.sleep(SILENCE_POLL_S)
-            writer.write(await self._answer_call(path, headers, body))
+            self.called(writer)
+            text = await self._answer_call(path, headers, body)
+            writer.write(text)
+            self.answered(writer, text)
+
+    def called(self, writer: asyncio.StreamWriter) -> None:
+        """A call has arrived on a connection; a soak overrides this."""
+
+    def answered(self, writer: asyncio.StreamWriter, text: bytes) -> None:
+        """Its answer has been written; a soak overrides this."""
 
     async def _answer_call(self, path: str, headers: dict[str, str], body: bytes) -> bytes:
         """Return the answer to a call, after its latency if it is not refused."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -18,10 +18,12 @@
 
     def __init__(self, **changes):
         self.ended, self.waits, self.probes, self.begun = asyncio.Queue(), [], asyncio.Queue(), []
+        self.taken_back = []
         self.allowed = self.wanted = True
         hooks = c.CallHooks(
             lambda e: self.allowed,
             self.begin,
+            self.taken_back.append,
             self.end,
             lambda e, w: self.waits.append(w),
             lambda e, r, latency: self.probes.put_nowait(r),
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -14,6 +14,7 @@
 
 from hopmill.interface import Result
 from hopmill.net import pool as p
+from hopmill.net.settle_wait import SETTLE_S
 from hopmill.net.upgrade import HandoverPayload
 
 
@@ -62,10 +63,12 @@
 @run
 async def test_most_recently_used_connection_is_reused_first(endpoint, o):
     connections = await idle(o, endpoint, 3)
+    await asyncio.sleep(2 * SETTLE_S)
     for _ in range(4):
         connection = await checked_out(o, endpoint)
         assert connection is connections[-1]
         o.pool.check_in(connection)
+        await asyncio.sleep(2 * SETTLE_S)  # before that an older one is taken
     assert list(o.pool.idle) == connections
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from pathlib import Path
+from random import Random
 
 import pytest
 
@@ -16,6 +17,7 @@
 from hopmill.soak.process import CONTROL_VARIABLE, ProcessFaults
 from hopmill.soak.records import SeenCall, SoakLedger
 from hopmill.soak.run import Soak, SoakOptions, run
+from hopmill.soak.surplus import SurplusSender
 from hopmill.standin.server import HOST, reserve_port
 
 
@@ -194,7 +196,9 @@
 
 async def told_by_agent(connects_fail_from, is_watched):
     told = {}
-    agent = Agent(lambda notice: None, told.__setitem__, told.__setitem__, lambda: None)
+    agent = Agent(
+        lambda notice: None, told.__setitem__, told.__setitem__, lambda: None, SurplusSender(Random(1))
+    )
     await agent.start()
     if is_watched:
         reader, writer = await asyncio.open_connection(HOST, agent.port)
