Give the numbers of zones back that nothing uses any more

Result: test_a_table_of_zones_that_was_full_has_room_once_zones_are_gone failed before (KeyError at the 257th name) and passes; a second test holds the number of a zone whose attempt may have run.

--- a/hopmill/net/endpoint_registry.py
+++ b/hopmill/net/endpoint_registry.py
@@ -29,13 +29,19 @@
     """State received from discovery. The decision core receives it as events, the pool as addresses."""
 
     def __init__(
-        self, settings: interface.Settings, zones: tuple[str, ...], may_serve: Callable[[int, int], bool]
+        self,
+        settings: interface.Settings,
+        zones: tuple[str, ...],
+        may_serve: Callable[[int, int], bool],
+        zones_in_use: Callable[[], tuple[set[str], set[int]]] = lambda: (set(), set()),
     ) -> None:
         """zones: names from the settings, in order.
 
-        may_serve(endpoint, zone): false where an operator or the policy in force excludes it.
+        may_serve(endpoint, zone): false where an operator or the policy in force excludes it. zones_in_use:
+        names and numbers of zones that are known elsewhere and must keep their number.
         """
-        self.settings, self.may_serve = settings, may_serve
+        self.settings, self.may_serve, self.zones_in_use = settings, may_serve, zones_in_use
+        self.zones_of_settings = len(zones)
         self.kinds = {k.name: n for n, k in enumerate(settings.kinds)}
         self.zones = {z: n for n, z in enumerate(zones)}
         self.uids: dict[str, int] = {}
@@ -142,11 +148,25 @@
     def zone(self, name: str) -> int:
         """Number of a zone. Those of the settings come first; lists and operators may add more.
 
-        Raises ValueError beyond MAX_ZONES.
+        Raises ValueError beyond MAX_ZONES that are in use.
         """
-        if name not in self.zones and len(self.zones) >= MAX_ZONES:
-            raise ValueError("az")
-        return self.zones.setdefault(name, len(self.zones))
+        number = self.zones.get(name)
+        if number is None:
+            if len(self.zones) >= MAX_ZONES:
+                self._forget_unused_zones()
+            numbers = set(self.zones.values())
+            number = next((n for n in range(MAX_ZONES) if n not in numbers), None)
+            if number is None:
+                raise ValueError("az")
+            self.zones[name] = number
+        return number
+
+    def _forget_unused_zones(self) -> None:
+        names, numbers = self.zones_in_use()
+        names = names | {str(target.get("az", "")) for target in self.targets.values()}
+        numbers = numbers | set(range(self.zones_of_settings))
+        for name in [n for n, number in self.zones.items() if n not in names and number not in numbers]:
+            del self.zones[name]
 
     def zone_of(self, endpoint: int) -> str:
         """Name of the zone of an endpoint, "" if it is not listed."""
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -75,7 +75,9 @@
             max(c.key_window_us for c in self.settings.classes) / 1e6,
         )
         self.journal_recovery = JournalRecovery(loop, self.journal)
-        self.registry = EndpointRegistry(self.settings, config.zones, self.courier.may_serve)
+        self.registry = EndpointRegistry(
+            self.settings, config.zones, self.courier.may_serve, self._zones_in_use
+        )
         self.events: list[interface.Event] = []
         self.intake = Intake(self)
         self.expiry_timers: dict[int, asyncio.TimerHandle] = {}
@@ -190,6 +192,17 @@
                 self.events.append(self.arrival_event(message, message.number in in_flight, True))
                 self.start_expiry_timer(message)
 
+    def _zones_in_use(self) -> tuple[set[str], set[int]]:
+        """Return the zones, by name or by number, that the journal or the decision core knows."""
+        attempted = {
+            zone
+            for message in self.journal.messages.values()
+            for zone in (message.latest_attempt_zone, message.earlier_run_zone)
+        }
+        endpoints = {endpoint.zone for endpoint in self.courier.state.endpoints.values()}
+        zones = self.courier.zones
+        return attempted | self.journal.excluded_zones, endpoints | zones.excluded | set(zones.returning)
+
     def _order_pauses_after_restart(self) -> list[interface.OrderPauseCarried]:
         """Return pauses for the order keys of attempts that may still run, though their process has ended."""
         until_us = self.clock() + self.settings.key_rest_us
--- a/tests/test_carried_state.py
+++ b/tests/test_carried_state.py
@@ -383,7 +383,7 @@
 
 # What the host hands over, and what its parts know that the next process does without.
 NOT_CARRIED_BY_REGISTRY = {
-    **dict.fromkeys(["settings", "may_serve", "kinds"], SETTINGS),
+    **dict.fromkeys(["settings", "may_serve", "kinds", "zones_in_use", "zones_of_settings"], SETTINGS),
     "zones": "by name in the list, the journal and the returning zones",
     "entries": FROM_LIST,
 }
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -30,6 +30,7 @@
     SetZoneByHand,
     ZoneCarried,
 )
+from hopmill.net.endpoint_registry import MAX_ZONES
 from hopmill.net.journal import Journal
 from hopmill.policy.courier import Courier
 from hopmill.policy.zones import Zones
@@ -348,3 +349,42 @@
         host.on_endpoint_list({"all": False, "targets": [target]})
     await until(lambda: not host.events)
     assert len(host.registry.zones) == 256
+
+
+@courier
+async def test_a_table_of_zones_that_was_full_has_room_once_zones_are_gone(fleet):
+    # Names were never forgotten: after 256 of them no endpoint in a new zone was used, for ever.
+    fleet.raw["localities"] = ["here"]
+    endpoint = await fleet.endpoint("a")
+    client = await fleet.inside()
+    registry, journal = fleet.host.registry, fleet.host.journal
+    journal.record_zone_excluded("kept-out", True)
+    kept = {name: registry.zone(name) for name in ("here", "kept-out")}
+    used = {}
+    for number in range(3 * MAX_ZONES):
+        fleet.discovery.targets["a"]["az"] = name = f"hall-{number}"
+        fleet.host.on_endpoint_list({"rev": number, "all": True, "targets": [fleet.discovery.targets["a"]]})
+        fleet.host.turn()
+        used[name] = registry.zones[name]
+        assert fleet.host.courier.state.endpoints[registry.number("a")].zone == used[name]
+        assert len(registry.zones) <= MAX_ZONES and len(set(registry.zones.values())) == len(registry.zones)
+    assert {name: registry.zone(name) for name in kept} == kept
+    assert await client.put("m") == "+OK"
+    await endpoint.call()
+    await until(lambda: not journal.messages)
+
+
+@courier
+async def test_the_zone_of_an_attempt_that_may_have_run_keeps_its_number(fleet):
+    # With another zone's number a message of a class keyed by zone could be repeated there.
+    await fleet.endpoint("a", "hang", "hang", "hang")
+    client = await fleet.inside()
+    fleet.discovery.targets["a"]["az"] = "first"
+    fleet.host.on_endpoint_list({"rev": 2, "all": True, "targets": [fleet.discovery.targets["a"]]})
+    assert await client.put("m", kind="keyed", key="k") == "+OK"
+    await fleet.endpoints["a"].call()
+    number = fleet.host.registry.zones["first"]
+    for rev in range(2 * MAX_ZONES):
+        moved = fleet.discovery.targets["a"] | {"az": f"hall-{rev}"}
+        fleet.host.on_endpoint_list({"rev": 3 + rev, "all": True, "targets": [moved]})
+    assert fleet.host.registry.zones["first"] == number
