Let connections rest for 50 ms after an answer

Need: the site's network takes 8 to 30 ms each way, so what an endpoint sends some ms after its answer can still cross the next request at 20 ms. Change: SETTLE_S 0.05; a call waits for a resting connection in place of a handshake of one to two round trips.

--- a/hopmill/net/settle_wait.py
+++ b/hopmill/net/settle_wait.py
@@ -13,7 +13,7 @@
 
 from hopmill.net.pooled_connection import Checkout, EndpointConnections
 
-SETTLE_S = 0.02  # longer than a round trip
+SETTLE_S = 0.05
 
 
 class SettleWait:
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -74,7 +74,9 @@
 
 
 @pytest.mark.parametrize("between_s", [0.0, 0.001, 0.1])
-@pytest.mark.parametrize(("pieces", "gap_s"), [(1, 0.0), (1, 0.005), (4, 0.0), (4, 0.003), (3, 0.015)])
+@pytest.mark.parametrize(
+    ("pieces", "gap_s"), [(1, 0.0), (1, 0.005), (4, 0.0), (4, 0.003), (3, 0.015), (2, 0.04)]
+)
 @pytest.mark.parametrize("kind", SURPLUS)
 def test_what_follows_an_answer_is_not_the_answer_to_the_next_call(kind, pieces, gap_s, between_s):
     # A second copy of a 200 that crossed the next request counted as its answer, and the message was lost.
