Let no call wait for a resting connection for over a quarter of its time

The trace showed a fault: with time-outs of some ms, a call that waits 50 ms for a resting connection ends unsent, and counts against the endpoint. Now a call waits for a quarter of its time at most, else it opens a connection.

--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -25,6 +25,7 @@
 )
 from hopmill.net.upgrade import HandoverPayload
 
+MAX_REST_SHARE = 0.25  # of a call's time, for a connection to rest; else a new one is opened
 RESPONSE_TAIL_S = 1.0  # wait for the rest of a response whose head has been received
 MAX_RESPONSE_BYTES = 64 * 1024  # of a body; a longer response counts as none and is not waited for
 BATCH_RESULTS = {
@@ -344,7 +345,9 @@
         self.in_flight.add(call)
         earlier = call.checkout
         checkout = self.pool.check_out(
-            call.endpoint, lambda connection, error: self._checked_out(call, connection, error)
+            call.endpoint,
+            lambda connection, error: self._checked_out(call, connection, error),
+            MAX_REST_SHARE * (call.deadline - self.loop.time()),
         )
         if call.checkout is earlier:  # it may have started again already, or ended
             call.checkout = checkout if call in self.in_flight else None
--- a/hopmill/net/pool.py
+++ b/hopmill/net/pool.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import errno
+import math
 import socket
 import time
 from collections import Counter, OrderedDict
@@ -132,9 +133,12 @@
 
     # Checking out
 
-    def check_out(self, endpoint: int, done: CheckoutCallback) -> Checkout:
-        """Hand out the most recently used idle connection, so that surplus ones expire; else opens one."""
-        checkout = Checkout(endpoint, done)
+    def check_out(self, endpoint: int, done: CheckoutCallback, max_rest_s: float = math.inf) -> Checkout:
+        """Hand out the most recently used idle connection, so that surplus ones expire; else opens one.
+
+        max_rest_s: how long to wait for a connection that still rests after its last answer.
+        """
+        checkout = Checkout(endpoint, done, max_rest_s)
         self._serve(checkout)
         return checkout
 
--- a/hopmill/net/pooled_connection.py
+++ b/hopmill/net/pooled_connection.py
@@ -113,6 +113,7 @@
 
     endpoint: int
     done: CheckoutCallback
+    max_rest_s: float = math.inf  # how long it may wait for a connection that rests
     connection: PooledConnection | None = None
     timer: asyncio.TimerHandle | None = None  # ends it, once an attempt has failed on this side
 
--- a/hopmill/net/settle_wait.py
+++ b/hopmill/net/settle_wait.py
@@ -29,13 +29,16 @@
         return self.loop.time() - idle_at >= SETTLE_S
 
     def add(self, checkout: Checkout, entry: EndpointConnections) -> bool:
-        """Let a checkout wait; return false if each settling connection is waited for already."""
+        """Let a checkout wait; false if that takes too long, or each connection is waited for already."""
         settling = [idle.idle_at for idle in entry.idle if not self.is_settled(idle.idle_at)]
-        count = self.counts[checkout.endpoint]
+        count = self.counts.get(checkout.endpoint, 0)
         if count >= len(settling):
             return False
-        self.counts[checkout.endpoint] += 1
-        self.timers[id(checkout)] = self.loop.call_at(settling[count] + SETTLE_S, self._settled, checkout)
+        settled_at = settling[count] + SETTLE_S
+        if settled_at - self.loop.time() > checkout.max_rest_s:
+            return False
+        self.counts[checkout.endpoint] = count + 1
+        self.timers[id(checkout)] = self.loop.call_at(settled_at, self._settled, checkout)
         return True
 
     def discard(self, checkout: Checkout) -> bool:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -176,6 +176,7 @@
     gate.set()
     await bounded(asyncio.gather(*sends))
     assert len(o.pool.idle) == 2
+    await asyncio.sleep(2 * SETTLE_S)  # a call with so little time does not wait for a connection that rests
     assert (await o.send(endpoint.port, "c", timeout_us=100_000))[0][1].result is Result.TIMEOUT
     assert not o.pool.idle and o.pool.endpoints[1].closed == {
         p.CloseReason.CALL_ABANDONED: 1,
