--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -315,6 +315,7 @@
         self.behave = behave or self.deliver
         self.calls: list[Call] = []
         self.latency_s = 0.05
+        self.on_given_up: Callable[[Call], Any] = lambda call: None
 
     async def deliver(self, call: Call) -> bytes | None:
         """Answer 200 after the latency."""
@@ -337,7 +338,10 @@
             self.record(f"{self.uid}: call {' '.join(ids)}")
             answer = await self.behave(call)
             if answer is None:
-                await reader.read()  # until the courier gives up
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()  # until the courier gives up
+                self.record(f"{self.uid}: the call with {' '.join(ids)} was given up")
+                self.on_given_up(call)
                 return
             self.record(f"{self.uid}: {answer.split(b' ', 2)[1].decode()} to {' '.join(ids)}")
             writer.write(answer)
