--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -387,6 +387,11 @@
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
 
+    def new_operator_port(self) -> None:
+        """Take another second address, as the next process of an upgrade gets."""
+        self.reservations.append(reserve_port())
+        self.operator_port = self.reservations[-1].getsockname()[1]
+
     def write_config(self) -> None:
         """Write the configuration file as the platform does, in one step."""
         self.starts += 1
