--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -25,12 +26,19 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PR_SET_PDEATHSIG = 1  # of prctl(2)
+libc = ctypes.CDLL(None)
 
 
 class NotRunError(Exception):
     """The case could not run: it says nothing of the rule."""
 
 
+def end_with_parent() -> None:
+    """In the child process: have the kernel kill it when the case ends, for whatever reason."""
+    libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+
+
 def settings(**changes: Any) -> dict[str, Any]:
     """Return settings like those of a small deployment (the sample of the wire page), with changes.
 
@@ -447,6 +455,7 @@
                 stderr=log,
                 pass_fds=fds,
                 start_new_session=True,
+                preexec_fn=end_with_parent,
             )
         self.record(f"{self.name}: started, process {process.pid}")
         return process
