--- a/review/6/case.py
+++ b/review/6/case.py
@@ -38,12 +38,13 @@
         place.behave = behave
         return place
 
-    given = settings(contract__drainGraceUs=500_000)
+    given = settings()
     given["classes"][1] |= {
         "idempotency": "idempotency_key",
         "keyScope": "zone",
         "goalTimeUs": 2_000_000,
-        "keyTtlUs": 5_000_000,
+        "deadlineUs": 12_000_000,
+        "keyTtlUs": 4_000_000,
     }
     first = endpoint("s-0", "hall-b")
     await first.start()
@@ -76,7 +77,7 @@
         await asyncio.sleep(0.1)
         if TROUBLE:
             await upgrade(case, courier)
-        await asyncio.sleep(6)  # the window for repeats, 5 s from the first attempt, is over
+        await asyncio.sleep(6)  # the window for repeats, 4 s from the first attempt, is over
         if courier.crashed():
             raise NotRunError(f"the courier has ended: {courier.log_tail()}")
         agent.change(other.uid, state="terminated")
