Keep the zone of an attempt with the attempt, not with the list

Cause: the zone of an attempt that may have run was read from the endpoint at the attempt's end. A call that is handed over to an endpoint no longer listed was given a new endpoint in zone 0.

--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -78,8 +78,9 @@
     late_share: float = 0.0  # of the worth, left at the deadline
     # KEYED: which endpoints drop repeats: all, or only those of one "zone" or "cell". With "zone" the courier
     # repeats a message only in the zone of the first attempt that may have run, with "cell" at any endpoint
-    # of its destination. With either it never refuses a message that may have been processed, since the
-    # client might resubmit it where repeats are not dropped.
+    # of its destination; with either not at all if it is not known where that attempt was sent. With either
+    # it never refuses a message that may have been processed, since the client might resubmit it where
+    # repeats are not dropped.
     key_scope: str = "all"
     key_window_us: int = 0  # KEYED: how long they drop them
     ordered: bool = False  # messages with the same order key are delivered one at a time
@@ -180,7 +181,7 @@
     state: EndpointState
     rate_per_s: float = 0.0  # limit for all couriers together; see Settings.rates_listed
     kind: int = 0
-    zone: int = 0
+    zone: int = 0  # -1 if unknown
 
 
 @dataclass(frozen=True, slots=True)
@@ -412,6 +413,7 @@
     endpoint: int
     sent_at_us: int
     messages: tuple[int, ...]
+    zone: int = -1  # the zone that it was sent to, whatever the list says now; -1 if unknown
 
 
 Event = (
--- a/hopmill/net/attempts.py
+++ b/hopmill/net/attempts.py
@@ -99,7 +99,17 @@
             return True
         window_us = message_class.key_window_us if message_class.effect is interface.Effect.KEYED else 0
         margin_us = KEY_WINDOW_MARGIN_TICKS * self.host.settings.tick_us
-        return now < ran_at + (window_us - margin_us) / 1e6
+        is_in_window = now < ran_at + (window_us - margin_us) / 1e6
+        return is_in_window and self._is_in_scope(message, message_class, endpoint)
+
+    def _is_in_scope(
+        self, message: JournaledMessage, message_class: interface.MessageClass, endpoint: int
+    ) -> bool:
+        """Return whether the endpoint drops repeats of what the message's first attempt may have run."""
+        zone = message.may_have_run_zone
+        if message_class.key_scope == "zone":
+            return bool(zone) and zone == self.host.registry.zone_of(endpoint)
+        return bool(zone) or message_class.key_scope == "all"
 
     def take_back(self, item: CallItem) -> None:
         """Record that an attempt was not written; it begins once more on another connection."""
--- a/hopmill/net/endpoint_registry.py
+++ b/hopmill/net/endpoint_registry.py
@@ -21,6 +21,7 @@
 }
 WITHDRAWN_STATE = "terminating"  # of a target that can't be read and is not in service
 MAX_REMOVED = 1024  # endpoints no longer listed whose destination is remembered
+UNKNOWN_ZONE = -1  # of an endpoint without a zone, or an attempt of which it is not recorded
 MAX_ZONES = 256  # bounds memory; entries that name a further zone are rejected
 log = logs.part("courier")
 
@@ -146,10 +147,12 @@
     # Names and numbers
 
     def zone(self, name: str) -> int:
-        """Number of a zone. Those of the settings come first; lists and operators may add more.
+        """Number of a zone, -1 for "". Those of the settings come first; lists and operators may add more.
 
         Raises ValueError beyond MAX_ZONES that are in use.
         """
+        if not name:
+            return UNKNOWN_ZONE
         number = self.zones.get(name)
         if number is None:
             if len(self.zones) >= MAX_ZONES:
@@ -161,6 +164,13 @@
             self.zones[name] = number
         return number
 
+    def zone_of_attempt(self, name: str) -> int:
+        """Number of the zone of a recorded attempt, whether or not a list still names it; -1 if unknown."""
+        try:
+            return self.zone(name)
+        except ValueError:
+            return UNKNOWN_ZONE
+
     def _forget_unused_zones(self) -> None:
         names, numbers = self.zones_in_use()
         names = names | {str(target.get("az", "")) for target in self.targets.values()}
--- a/hopmill/net/handover.py
+++ b/hopmill/net/handover.py
@@ -167,10 +167,10 @@
         for number in carried["unwritten"]:
             host.journal.record_not_run(number)
         calls = [
-            (endpoint, int(started * 1e6), tuple(number for number, _, ended in items if not ended))
+            self._call_event(endpoint, started, items)
             for endpoint, _, _, started, items, *_ in carried["calls"]
         ]
-        in_flight = {number for _, _, numbers in calls for number in numbers}
+        in_flight = {number for call in calls for number in call.messages}
         ended = [interface.EndedInFlight(*row) for row in carried.get("ended_in_flight", ())]
         ended = [row for row in ended if row.message in in_flight]
         host.events += [self._arrival_of_ended(row) for row in ended]
@@ -178,10 +178,22 @@
         # After the arrivals, which these figures count already.
         host.events += [interface.LaneCarried(*row) for row in carried.get("lanes", ())]
         host.events += [interface.Carried(endpoint, figures) for endpoint, figures in carried["learned"]]
-        host.events += [interface.CallCarried(*call) for call in calls]
+        host.events += calls
         host.events += [interface.MessageGone(row.message) for row in ended]
         host.turn()
 
+    def _call_event(
+        self, endpoint: int, started: float, items: list[tuple[int, int, bool]]
+    ) -> interface.CallCarried:
+        """Return the event for a call that is handed over; the journal knows the zone it was sent to."""
+        numbers = tuple(number for number, _, ended in items if not ended)
+        messages = self.host.journal.messages
+        zones = {messages[number].latest_attempt_zone for number in numbers if number in messages}
+        zone = zones.pop() if len(zones) == 1 else ""
+        return interface.CallCarried(
+            endpoint, int(started * 1e6), numbers, self.host.registry.zone_of_attempt(zone)
+        )
+
     def _arrival_of_ended(self, row: interface.EndedInFlight) -> interface.MessageArrived:
         """Return the event for a message that has ended, and whose call is handed over."""
         message = self.host.journal.messages.get(row.message)  # None: its notice was accepted already
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -242,7 +242,7 @@
             message.resubmitted,
             message.attempts,
             self._to_core_time(ran_at) if ran_at else -1,
-            self.registry.zones.get(zone, -1),
+            self.registry.zone_of_attempt(zone),
             in_flight,
             restored,
         )
--- a/hopmill/net/intake.py
+++ b/hopmill/net/intake.py
@@ -108,11 +108,11 @@
             return
         for older in host.journal.messages.values():
             if older.idempotency_key == message.idempotency_key and not older.status:
-                if not message.earlier_run_at:
-                    message.earlier_run_at, message.earlier_run_zone = (
-                        older.may_have_run_at,
-                        older.may_have_run_zone,
-                    )
+                if older.may_have_run_at and older.destination == message.destination:
+                    message.earlier_run_at = older.may_have_run_at
+                    message.earlier_run_zone = older.may_have_run_zone
+                elif not message.earlier_run_at:  # endpoints of another destination: the zone tells nothing
+                    message.earlier_run_at = older.may_have_run_at
                 host.post(interface.MessageGone(older.number))
                 latest_attempt = host.next_attempts.get(older.number, 0) - 1
                 host.end_message(older, "deferred", 0)
--- a/hopmill/policy/courier.py
+++ b/hopmill/policy/courier.py
@@ -238,10 +238,16 @@
         endpoint = self.state.endpoints.get(event.endpoint)
         if endpoint is None:  # it has left the list since
             endpoint = self.directory.add(
-                ListEntry(event.endpoint, destination.number, EndpointState.GONE, kind=destination.kind)
+                ListEntry(
+                    event.endpoint,
+                    destination.number,
+                    EndpointState.GONE,
+                    kind=destination.kind,
+                    zone=event.zone,
+                )
             )
             endpoint.state = EndpointState.GONE
-        call = self._begin_call(endpoint, event.sent_at_us)
+        call = self._begin_call(endpoint, event.sent_at_us, event.zone)
         if endpoint.breaker.is_open:
             endpoint.breaker.trial_call = call
         for message in messages:
@@ -328,7 +334,7 @@
             event.result not in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
             and message.may_have_run_since_us < 0
         ):
-            message.may_have_run_since_us, message.may_have_run_zone = call.sent_us, endpoint.zone
+            message.may_have_run_since_us, message.may_have_run_zone = call.sent_us, call.zone
         if not message.attempts_in_flight:
             is_moot = event.result is Result.MOOT
             wait_us = moot_wait_us if is_moot else self.pacing.backoff_us(message.counted_attempts - 1)
@@ -448,7 +454,7 @@
                 picks[number] = next_pick
 
     def _send(self, message: Message, endpoint: Endpoint) -> None:
-        call = self._begin_call(endpoint, self.turn.now_us)
+        call = self._begin_call(endpoint, self.turn.now_us, endpoint.zone)
         self.connections.check_out(endpoint, call)
         self.pacing.spend_token(endpoint.lane)
         if endpoint.breaker.is_open:
@@ -471,9 +477,9 @@
             other.attempts += 1
             self.turn.actions.append(Send(other.id, endpoint.id, timeout_us))
 
-    def _begin_call(self, endpoint: Endpoint, sent_us: int) -> Call:
+    def _begin_call(self, endpoint: Endpoint, sent_us: int, zone: int) -> Call:
         """Open a call, which occupies a slot."""
-        call = Call(endpoint, sent_us)
+        call = Call(endpoint, sent_us, zone)
         self.state.calls_in_flight += 1
         endpoint.lane.calls_in_flight += 1
         endpoint.lane.destination.calls_in_flight += 1
--- a/hopmill/policy/state.py
+++ b/hopmill/policy/state.py
@@ -117,7 +117,10 @@
         self.last_endpoint: Endpoint | None = None
         self.is_closed = self.is_streaming = self.failed_quickly = False
         self.weight = 1.0  # worth when delivered in time
-        self.is_zone_bound = message_class.effect is Effect.KEYED and message_class.key_scope == "zone"
+        is_keyed = message_class.effect is Effect.KEYED
+        # Whether only some endpoints drop repeats of its key, and whether these are the ones of a zone.
+        self.is_scope_bound = is_keyed and message_class.key_scope != "all"
+        self.is_zone_bound = is_keyed and message_class.key_scope == "zone"
 
     @property
     def counted_attempts(self) -> int:
@@ -133,7 +136,7 @@
         if self.may_have_run_since_us < 0 or self.message_class.effect is Effect.SAFE:
             return self.valid_until_us - margin_us
         may_repeat = self.message_class.effect is Effect.KEYED and not (
-            self.is_zone_bound and self.may_have_run_zone < 0
+            self.is_scope_bound and self.may_have_run_zone < 0
         )
         return (
             min(
@@ -147,9 +150,10 @@
 class Call:
     """One call in flight. A batched call carries several messages."""
 
-    def __init__(self, endpoint: Endpoint, now_us: int) -> None:
+    def __init__(self, endpoint: Endpoint, now_us: int, zone: int) -> None:
         self.endpoint = endpoint
         self.sent_us = now_us
+        self.zone = zone  # of the endpoint when the call was sent; -1 if unknown
         self.open_attempts = 0  # of its messages, not ended yet
         self.is_outcome_recorded = False  # its outcome has been recorded
         self.connection_idle_us = -1  # how long its connection had been idle; -1: a new connection
--- a/tests/test_carried_state.py
+++ b/tests/test_carried_state.py
@@ -325,6 +325,7 @@
                 "may_have_run_since_us",
                 "may_have_run_zone",
                 "is_closed",
+                "is_scope_bound",
                 "is_zone_bound",
             ],
             FROM_JOURNAL,
@@ -336,6 +337,7 @@
     },
     "Call": {
         **dict.fromkeys(["endpoint", "sent_us", "open_attempts"], FROM_CALLS),
+        "zone": FROM_JOURNAL + ", told by CallCarried",
         "is_outcome_recorded": "the outcome of a batch may count twice",
         "connection_idle_us": "how long idle connections are trusted; no rule rests on it",
     },
