Bound what clients occupy in bytes, places and work a turn

What operators saw elsewhere and own loads showed on with a limit of 64 MB: 300 clients that sent four requests of 64 KiB at once took 72 MB (173 MB with disk_mb 64 and 600 messages held); beside 50 clients that sent 9,000 short fields a third of the ordinary clients had no answer in 0.4 s.

Cause: 256 KiB were read of each client at once, requests were limited in number but not in bytes, bodies were held as far as the disk allowed, the fields of a message were parsed up to 64 KiB, and a client had 32 requests handled whenever it was read.

Change: clients are read 16 KiB at a time into one buffer and handled in turns of 8 requests, 4 ms an iteration (ClientTurns); a partial request over 4 KiB needs a place (LargeRequests, 1/32 of the memory); messages, ids and keys are admitted up to 1/12 of the memory; at most 4 KiB and 64 fields; answers are buffered up to 16 KiB; a newcomer that finds no room is told -BUSY. An open message with a key is found by an index. ClientServer has a module of its own.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -1,20 +1,19 @@
-"""The RESP2 server to which clients submit messages."""
+"""Connections of the clients that submit messages (RESP2)."""
 
 from __future__ import annotations
 
 import asyncio
 import fcntl
-import socket
 import termios
 from collections import deque
-from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from hopmill import logs
-from hopmill.net.accept import Acceptor
-from hopmill.net.put import BadRequestError, Put, parse_put
+from hopmill.net.put import BadRequestError, parse_put
 from hopmill.net.resp import MALFORMED, MalformedValue, ProtocolError, RequestReader
-from hopmill.net.upgrade import HandoverPayload
+
+if TYPE_CHECKING:
+    from hopmill.net.client_server import ClientServer
 
 # A client without a request, in the middle of one, or with unread answers is closed once it has been idle for
 # this time. The platform requires that an incomplete request is answered with an error line or a close within
@@ -22,19 +21,18 @@
 # clients out.
 REQUEST_TIMEOUT_S = 2.05
 MAX_REQUEST_S = 2.8  # for a request that arrives slowly
-BACKLOG = 512  # connections waiting to be accepted
+MAX_PLACE_WAIT_S = 0.3  # of a large request; clients wait 0.4 s for an answer
 # After an operator drains the courier, connections are closed between requests from this time on. The load
 # balancer sends a PING ten times a second, and new clients may come until 0.2 s after the first error answer.
 DRAIN_GRACE_S = 0.5
-DRAIN_IDLE_S = 0.2  # a drained courier closes connections without data for this time
-DRAIN_SWEEP_S = 0.05  # interval of the sweep that closes idle connections while the courier is drained
 LINGER_S = 0.15  # after the last answer a connection is read for this time, and what comes is discarded
-FIRST_REQUEST_GRACE_S = 0.4  # a client that has not sent its first request yet counts as idle after this time
 MAX_ERROR_BYTES = 200  # of the text of an error answer
-LINGERING_DIVISOR = 10  # one in so many of the clients' connections may linger
-MAX_ACCEPTS_PER_ITERATION = 16  # new connections in one iteration of the event loop
-MAX_REQUESTS_PER_ITERATION = 32  # handled for one client before other clients' requests
+MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # buffered for a client; no request of it is handled meanwhile
+MAX_REQUESTS_PER_TURN = 8  # handled for one client before other clients' requests
 MAX_INVALID_REQUESTS = 16  # in a row; a peer that sends more is disconnected
+NO_WHOLE_REQUEST = b"-ERR no whole request in time\r\n"
+POSITIVE = b"+"  # the first byte of the answer that a message is accepted
+OVERLOADED = b"-BUSY 1000\r\n"  # refused before it was read: it may be submitted again after so many ms
 log = logs.part("clients")
 
 
@@ -43,22 +41,33 @@
 
     def __init__(self, client: ClientConnection) -> None:
         self.client, self.data = client, b""
+        self.is_begun = False  # the first byte of a positive answer is written
 
-    @property
-    def is_wanted(self) -> bool:
-        """Whether the client is still connected."""
-        return not self.client.is_lost
+    def begin_positive(self) -> bool:
+        """Return whether the client is still there to be told that its message is accepted.
+
+        Of a client that sends no more only an answer shows whether it still reads. In that case the first
+        byte of the answer is written, and a refusal can no longer be.
+        """
+        return self.client.begin_positive(self)
 
     def send(self, data: bytes) -> None:
         """Answer the request; only the first answer counts."""
-        if not self.data:
-            self.data = data
-            self.client.flush()
+        if self.data:
+            return
+        if self.is_begun and not data.startswith(POSITIVE):
+            self.client.drop()
+            return
+        self.data = data[len(POSITIVE) :] if self.is_begun else data
+        self.client.flush()
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection.
 
+    What it occupies is bounded: its data is read in small parts and handled in turns with other clients'
+    (ClientTurns), and a large request needs a place (LargeRequests).
+
     carried: what the previous process handed over at an upgrade: state of the reader, last_data_at,
     last_request_at, request_began_at, awaits_first_byte. It is empty for a new connection.
     """
@@ -68,11 +77,11 @@
         self.reader = RequestReader()
         self.pending_replies: deque[Reply] = deque()
         self.is_lost = self.is_closing = self.writing_paused = False
+        self.waits_for_place = False  # it is in the middle of a large request and not read for now
         # Whether this side, and whether the peer, has announced that it sends no more.
         self.is_lingering = self.peer_sent_eof = False
         self.has_sent_request = bool(carried)  # it has sent a valid request
         self.invalid_count = 0  # requests since the last valid one
-        self.resume_handle: asyncio.Handle | None = None  # set while data waits to be processed
         self.last_data_at = 0.0  # when it last sent data, or connected; these times are the event loop's
         self.last_request_at = 0.0  # when its last valid request was complete, or it connected
         self.request_began_at = 0.0  # first byte after that request, or time of connection
@@ -83,13 +92,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start, or go on from what the previous process handed over."""
         self.transport = transport  # type: ignore[assignment]
+        self.transport.set_write_buffer_limits(high=MAX_UNREAD_ANSWER_BYTES)
         self.last_data_at = self.last_request_at = self.request_began_at = asyncio.get_running_loop().time()
         if self.carried:
             reader, self.last_data_at, self.last_request_at, self.request_began_at, self.awaits_first_byte = (
                 self.carried
             )
             self.reader.resume(reader)
-            self._process_later()
+            self.server.turns.add(self)
         self._ensure_timer()
         self.server.connection_joined(self)
 
@@ -97,10 +107,14 @@
         """Cancel what is scheduled and leave the server."""
         self.is_lost = True
         self._stop_timer()
-        if self.resume_handle:
-            self.resume_handle.cancel()
         self.server.connection_left(self)
 
+    def drop(self) -> None:
+        """Forget a client that has left; nothing of what it has sent is handled any more."""
+        self.is_lost = self.is_closing = True
+        self.reader = RequestReader()
+        self.transport.abort()
+
     def _ensure_timer(self) -> None:
         """Run the time-out for the next valid request, or for reading the answers, if it is not running."""
         if self.timer is None and not self.is_lost:
@@ -116,6 +130,8 @@
 
         It only moves forward, so a timer that was set for an earlier deadline checks again.
         """
+        if self.waits_for_place:
+            return self.last_data_at + MAX_PLACE_WAIT_S
         if self.reader.has_partial_request:
             return min(self.last_data_at + REQUEST_TIMEOUT_S, self.request_began_at + MAX_REQUEST_S)
         return self.last_request_at + REQUEST_TIMEOUT_S
@@ -139,6 +155,8 @@
         elif not self.reader.has_partial_request and self.has_unread_bytes:  # its next request is arriving
             # LINGER_S gives the event loop time to read these bytes.
             self.timer = loop.call_later(LINGER_S, self._on_timeout)
+        elif self.waits_for_place:
+            self.turn_away()
         else:
             self.reject()
 
@@ -146,14 +164,24 @@
         """Close the connection; an incomplete request gets an error line first."""
         self.is_closing = True
         if self.reader.has_partial_request:
-            self._add_reply().send(b"-ERR no whole request in time\r\n")
+            self._add_reply().send(NO_WHOLE_REQUEST)
+        self.flush()
+        self._ensure_timer()
+
+    def turn_away(self) -> None:
+        """Close the connection for lack of room, and tell when to come again."""
+        self.is_closing = True
+        self._add_reply().send(OVERLOADED)
         self.flush()
         self._ensure_timer()
 
     def eof_received(self) -> bool:
-        """Close, but only after the pending answers."""
-        self.is_closing = self.peer_sent_eof = True
-        return bool(self.pending_replies)
+        """Close, but only after the requests before it and their answers."""
+        self.peer_sent_eof = True
+        if self.is_closing:
+            return bool(self.pending_replies)
+        self.server.turns.add(self)
+        return True
 
     def pause_writing(self) -> None:
         """Stop reading while the client does not read its answers."""
@@ -165,43 +193,90 @@
         """Go on with the requests that were read meanwhile."""
         self.writing_paused = False
         self._ensure_timer()
-        self._process_later()
+        self.server.turns.add(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to read into: memory that all clients share, since it is copied at once."""
+        return self.server.receive_buffer
 
-    def data_received(self, data: bytes) -> None:
-        """Process what was received; ignored once the connection is closing."""
+    def buffer_updated(self, count: int) -> None:
+        """Process what was read."""
+        self.data_received(self.server.receive_buffer[:count])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Keep what was received until the client has its turn; ignored once the connection is closing."""
         if self.is_closing:
             return
         self.server.touch(self)
         self.last_data_at = asyncio.get_running_loop().time()
         self.reader.feed(data)
-        if self.resume_handle is None:
-            self._process_requests()
-
-    def _process_requests(self) -> None:
-        """Handle a limited number of requests, so that one client does not delay all others."""
-        self.resume_handle = None
+        self._note_request_start()
+        if len(self.reader.buffer) >= len(self.server.receive_buffer):
+            self.transport.pause_reading()
+        self.server.turns.add(self)
+
+    def process_some(self) -> bool:
+        """Handle a few requests; return whether there may be more to handle now."""
+        if self.is_lost:
+            return False
+        has_more = False
         try:
-            self._note_request_start()
-            for _ in range(MAX_REQUESTS_PER_ITERATION):
-                if self.is_closing or self.writing_paused or (request := self.reader.next_request()) is None:
-                    break
-                self._handle(request)
-                if self.invalid_count > MAX_INVALID_REQUESTS:
-                    self.is_closing = True
-                    self.flush()
-            else:
-                self._process_later()
+            has_more = self._handle_some()
             self._note_request_start()
         except ProtocolError as error:  # the start of the next request cannot be determined
             self.is_closing = True
             self._add_reply().send(b"-ERR Protocol error: %s\r\n" % _one_line(str(error)))
-        if not self.resume_handle and not self.writing_paused and not self.is_closing:
-            self.transport.resume_reading()
-        self._ensure_timer()
+        if not self.is_lost:
+            self._read_on(has_more)
+            self._ensure_timer()
+        return has_more
+
+    def _handle_some(self) -> bool:
+        for _ in range(MAX_REQUESTS_PER_TURN):
+            if not self._may_handle_next() or (request := self.reader.next_request()) is None:
+                return False
+            self._handle(request)
+            if self.invalid_count > MAX_INVALID_REQUESTS:
+                self.is_closing = True
+                self.flush()
+        return True
+
+    def _may_handle_next(self) -> bool:
+        """Return whether the next request may be handled now.
+
+        The requests of a client that sends no more are handled one at a time: the answer to one shows
+        whether the client has left the others behind.
+        """
+        return not (self.is_closing or self.writing_paused or not self.reader.buffer)
 
-    def _process_later(self) -> None:
-        self.transport.pause_reading()  # so that EOF is seen only after the data before it
-        self.resume_handle = asyncio.get_running_loop().call_soon(self._process_requests)
+    def begin_positive(self, reply: Reply) -> bool:
+        """See Reply.begin_positive."""
+        return not (self.is_lost or self.transport.is_closing())
+
+    def _read_on(self, has_more: bool) -> None:
+        """Read the client further, unless it waits for its turn, for a place, or has to read its answers."""
+        if self.is_closing or self.writing_paused:
+            return
+        if has_more:
+            self.transport.pause_reading()
+        elif self.peer_sent_eof and not self.pending_replies:
+            self.is_closing = True
+            self.flush()
+        elif not self.peer_sent_eof:
+            held_bytes = self.reader.partial_bytes + self.transport.get_write_buffer_size()
+            self.waits_for_place = not self.server.large_requests.may_grow(self, held_bytes)
+            if self.waits_for_place:
+                self._stop_timer()  # the one for a wait for a place is shorter
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
+    def place_granted(self) -> None:
+        """Go on reading a large request."""
+        self.waits_for_place = False
+        if not (self.is_closing or self.writing_paused):
+            self.last_data_at = asyncio.get_running_loop().time()  # it could not be read meanwhile
+            self.transport.resume_reading()
 
     def _note_request_start(self) -> None:
         """Start the time of a request at its first byte.
@@ -260,6 +335,8 @@
             self._start_linger()
         elif answers and self.server.closes_after_answer:
             self.close_if_idle()
+        elif answers and not self.pending_replies and (self.peer_sent_eof or self.reader.buffer):
+            self.server.turns.add(self)  # the next request of a client that sends no more had to wait
 
     def _start_linger(self) -> None:
         """Send EOF, and read and discard what the client still sends.
@@ -271,6 +348,7 @@
             return
         self.is_closing = self.is_lingering = True
         self.reader = RequestReader()  # many lingering connections must not hold memory
+        self.waits_for_place = False
         self._stop_timer()
         if self.peer_sent_eof:
             self.transport.close()
@@ -322,129 +400,3 @@
 
 def _one_line(text: str) -> bytes:
     return " ".join(text.split()).encode("ascii", "replace")[:MAX_ERROR_BYTES]
-
-
-class ClientServer:
-    """Accepts clients; `put` receives each message with the reply to answer it by."""
-
-    def __init__(self, put: Callable[[Put, Reply], None], max_clients: int) -> None:
-        self.put, self.max_clients = put, max_clients
-        self.connections: dict[ClientConnection, None] = {}  # least recently used first
-        self.lingering: dict[ClientConnection, None] = {}  # being read until their end, oldest first
-        self.acceptor: Acceptor | None = None
-        # Whether PING is answered with an error; whether connections are closed between requests.
-        self.drained = self.closes_after_answer = False
-        self.sweep_timer: asyncio.TimerHandle | None = None
-
-    def set_drained(self, drained: bool) -> None:
-        """Close clients' connections without cutting off requests, or accept clients again. Idempotent."""
-        if drained is self.drained:
-            return
-        self.drained, self.closes_after_answer = drained, False
-        if self.sweep_timer:
-            self.sweep_timer.cancel()
-        if drained:
-            self.sweep_timer = asyncio.get_running_loop().call_later(
-                DRAIN_GRACE_S, self._close_idle_while_draining
-            )
-
-    def _close_idle_while_draining(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.closes_after_answer = True  # from now on busy connections are closed after their answer
-        for client in list(self.connections):
-            if loop.time() - client.last_data_at >= DRAIN_IDLE_S:
-                client.close_if_idle()
-        self.sweep_timer = loop.call_later(DRAIN_SWEEP_S, self._close_idle_while_draining)
-
-    def listen(self, sock: socket.socket) -> int:
-        """Accept clients on this socket; returns its port."""
-        self.acceptor = Acceptor(sock, lambda: ClientConnection(self), MAX_ACCEPTS_PER_ITERATION)
-        return self.acceptor.port
-
-    def connection_joined(self, client: ClientConnection) -> None:
-        """Add a connection; if there are too many, another one is closed."""
-        self.connections[client] = None
-        if len(self.connections) > self.max_clients:  # to keep to the limits on open files and memory
-            self._make_room(client)
-
-    def _make_room(self, newcomer: ClientConnection) -> None:
-        # Least recently used first.
-        others = [c for c in self.connections if c is not newcomer and not c.pending_replies]
-        closable = next((c for c in others if c.is_between_requests and not c.has_unread_bytes), None)
-        # All others have partial requests or are about to be answered: the one idle longest is stalled.
-        closable = closable or next((c for c in others if c.reader.has_partial_request), newcomer)
-        # Removed at once, or the next to join in this iteration of the loop would choose the same one.
-        self.connection_left(closable)
-        closable.reject()
-
-    def connection_left(self, client: ClientConnection) -> None:
-        """Forget a connection."""
-        self.connections.pop(client, None)
-        self.lingering.pop(client, None)
-
-    def connection_lingers(self, client: ClientConnection) -> None:
-        """Keep a connection that is read until its end; only few, as each occupies a descriptor."""
-        self.connection_left(client)
-        self.lingering[client] = None
-        if len(self.lingering) > max(2, self.max_clients // LINGERING_DIVISOR):
-            next(iter(self.lingering)).transport.abort()
-
-    @property
-    def is_empty(self) -> bool:
-        """Whether no client is connected or about to be."""
-        return not (self.connections or self.lingering or self.acceptor and self.acceptor.pending_joins)
-
-    def touch(self, client: ClientConnection) -> None:
-        """Mark a connection as the most recently used."""
-        if client in self.connections:
-            self.connections[client] = self.connections.pop(client)
-
-    @property
-    def is_listening(self) -> bool:
-        """Whether new clients are accepted."""
-        return self.acceptor is not None and self.acceptor.is_open
-
-    def stop_listening(self) -> None:
-        """Accept the clients that the kernel has accepted already, then no more."""
-        if self.sweep_timer:
-            self.sweep_timer.cancel()
-        if self.acceptor is not None:
-            self.acceptor.close()
-
-    def carry(self, payload: HandoverPayload, limit: int) -> list[list[Any]]:
-        """Return up to `limit` connections to hand over to the next process, the most recently used ones.
-
-        Between two turns no answer is pending on them.
-        """
-        return [
-            [
-                payload.add_descriptor(c.fileno),
-                c.reader.carry(),
-                c.last_data_at,
-                c.last_request_at,
-                c.request_began_at,
-                c.awaits_first_byte,
-            ]
-            for c in list(self.connections)[-limit:]
-            if c.can_be_handed_over
-        ]
-
-    def resume(self, sock: socket.socket, *carried: Any) -> None:
-        """Go on with a connection that the previous process handed over at an upgrade."""
-        assert self.acceptor is not None
-        self.acceptor.join(sock, lambda: ClientConnection(self, carried))
-
-    def close_idle(self) -> None:
-        """Close the connections that are between requests.
-
-        Others would lose their request. New connections are spared: their first request may be in transit.
-        """
-        now = asyncio.get_running_loop().time()
-        for client in list(self.connections):
-            if client.has_sent_request or now - client.last_request_at >= FIRST_REQUEST_GRACE_S:
-                client.close_if_idle()
-
-    def reject_all(self) -> None:
-        """Reject incomplete requests on all connections, as the process ends."""
-        for client in list(self.connections):
-            client.reject()
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -19,7 +19,8 @@
 from hopmill.net.attempts import Attempts
 from hopmill.net.backoff import retry_waits
 from hopmill.net.calls import Calls, CallHooks, CallItem, Outcome
-from hopmill.net.clients import BACKLOG, ClientServer, Reply
+from hopmill.net.client_server import BACKLOG, ClientServer
+from hopmill.net.clients import Reply
 from hopmill.net.config import Address, Config, Options
 from hopmill.net.discovery import NoticeSender, DiscoveryWatch
 from hopmill.net.handover import Handover
@@ -47,6 +48,9 @@
 CLIENT_DESCRIPTOR_SHARE, IDLE_DESCRIPTOR_SHARE = 0.3, 0.2
 # Share of the memory for partly received requests, each of which may have the maximum size.
 REQUEST_MEMORY_SHARE = 1 / 8
+# Share of the memory for the large ones among them, and as much again for answers to them.
+MESSAGE_MEMORY_SHARE = 1 / 12  # for messages, with their bodies, and the ids and keys of ended ones
+LARGE_REQUEST_MEMORY_SHARE = 1 / 32
 log, messages_log, policy_log = logs.part("courier"), logs.part("messages"), logs.part("policy")
 
 
@@ -73,6 +77,7 @@
             ownership.folder,
             config.disk_bytes - joining.fleet_bytes(config),
             max(c.key_window_us for c in self.settings.classes) / 1e6,
+            int(config.memory_bytes * MESSAGE_MEMORY_SHARE),
         )
         self.journal_recovery = JournalRecovery(loop, self.journal)
         self.registry = EndpointRegistry(
@@ -106,7 +111,9 @@
             config.sockets * CLIENT_DESCRIPTOR_SHARE,
             config.memory_bytes * REQUEST_MEMORY_SHARE / MAX_REQUEST_BYTES,
         )
-        self.clients = ClientServer(self.intake.put, max(8, int(max_clients)))
+        self.clients = ClientServer(
+            self.intake.put, max(8, int(max_clients)), int(config.memory_bytes * LARGE_REQUEST_MEMORY_SHARE)
+        )
         self.notices = NoticeSender(loop, config.discovery, self._notices_accepted)
         self.watch = DiscoveryWatch(
             loop,
--- a/hopmill/net/intake.py
+++ b/hopmill/net/intake.py
@@ -28,11 +28,12 @@
         self.class_indexes = {c.name: index for index, c in enumerate(settings.classes)}
         self.tenant_indexes = {t.name: index for index, t in enumerate(settings.tenants)}
         self.arrived: Arrived = {}
+        self.arrived_bytes = 0  # that the messages in `arrived` take in the journal
         self.arrived_numbers_by_id: dict[str, int] = {}
 
     def take_arrived(self) -> Arrived:
         """Return and forget what has arrived since the last turn; the caller answers it."""
-        arrived, self.arrived = self.arrived, {}
+        arrived, self.arrived, self.arrived_bytes = self.arrived, {}, 0
         self.arrived_numbers_by_id.clear()
         return arrived
 
@@ -62,16 +63,23 @@
         if host.active_policy and not host.active_policy.may_act():
             host.active_policy.queue(put, reply)
             return
-        if host.journal.open_count + len(self.arrived) >= host.settings.max_held:
+        message = self._new_message(put, class_index, tenant)
+        if not self._has_room_for(message):
             reply.send(refusal(host.courier.come_back_us()))
             return
-        message = self._new_message(put, class_index, tenant)
+        self.arrived_bytes += host.journal.bytes_to_accept(message)
         self._replace_older(message)
         self.arrived[message.number] = (message, [reply])
         self.arrived_numbers_by_id[message.id] = message.number
         host.observer.received(message, put.lifetime_ms)
         host.post(host.arrival_event(message))
 
+    def _has_room_for(self, message: JournaledMessage) -> bool:
+        journal = self.host.journal
+        if journal.open_count + len(self.arrived) >= self.host.settings.max_held:
+            return False
+        return journal.has_room_for_messages(self.arrived_bytes + journal.bytes_to_accept(message))
+
     def _new_message(self, put: Put, class_index: int, tenant: int) -> JournaledMessage:
         """Return the message with the next number; its expiry counts from now."""
         now = self.host.journal.scale.now()
@@ -104,20 +112,18 @@
         A client submits a key that is still open again only if it has given up the older message.
         """
         host = self.host
-        if not message.idempotency_key:
+        older = host.journal.open_message_with_key(message.idempotency_key)
+        if older is None:
             return
-        for older in host.journal.messages.values():
-            if older.idempotency_key == message.idempotency_key and not older.status:
-                if older.may_have_run_at and older.destination == message.destination:
-                    message.earlier_run_at = older.may_have_run_at
-                    message.earlier_run_zone = older.may_have_run_zone
-                elif not message.earlier_run_at:  # endpoints of another destination: the zone tells nothing
-                    message.earlier_run_at = older.may_have_run_at
-                host.post(interface.MessageGone(older.number))
-                latest_attempt = host.next_attempts.get(older.number, 0) - 1
-                host.end_message(older, "deferred", 0)
-                host.calls.cancel(older.number, latest_attempt)
-                return
+        if older.may_have_run_at and older.destination == message.destination:
+            message.earlier_run_at = older.may_have_run_at
+            message.earlier_run_zone = older.may_have_run_zone
+        elif not message.earlier_run_at:  # endpoints of another destination: the zone tells nothing
+            message.earlier_run_at = older.may_have_run_at
+        host.post(interface.MessageGone(older.number))
+        latest_attempt = host.next_attempts.get(older.number, 0) - 1
+        host.end_message(older, "deferred", 0)
+        host.calls.cancel(older.number, latest_attempt)
 
     def accept(self, message: JournaledMessage, replies: list[Reply]) -> None:
         """Record a message that the decision core has admitted, then answer the client."""
@@ -127,7 +133,7 @@
             for reply in replies:
                 reply.send(refusal(host.courier.come_back_us()))
             return
-        if not any(r.is_wanted for r in replies):
+        if not any(reply.begin_positive() for reply in replies):
             host.post(interface.MessageGone(message.number))  # no client would learn that it was accepted
             return
         try:
--- a/hopmill/net/journal.py
+++ b/hopmill/net/journal.py
@@ -29,6 +29,7 @@
     dispensable_from,
 )
 from hopmill.net.journal_records import (
+    MESSAGE_MEMORY_BYTES,
     JournalContents,
     JournaledMessage,
     encode_record,
@@ -44,6 +45,8 @@
 # If a time scale that starts after a boot reads no later than the latest record plus this, the wall clock is
 # assumed to have been set back between the boots.
 SET_BACK_TOLERANCE_S = 0.001
+UNLIMITED_BYTES = 1 << 60
+FORGETTING_INTERVAL_S = 0.25  # between two searches for entries that can be forgotten, for lack of room
 COMPACTION_RETRY_S = 0.5  # after a compaction that failed
 MIN_COMPACTION_BYTES = 1 << 17  # smaller files are compacted only for lack of space
 log = logs.part("journal")
@@ -64,8 +67,17 @@
     `record_` methods raise OSError (JournalFullError over the disk limit) unless they say that they do not.
     """
 
-    def __init__(self, folder: Path, limit_bytes: int, key_window_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        limit_bytes: int,
+        key_window_s: float = 0.0,
+        memory_limit_bytes: int = UNLIMITED_BYTES,
+    ) -> None:
+        """limit_bytes: of the files. memory_limit_bytes: of the entries in memory, for new messages."""
         super().__init__(key_window_s)
+        self.memory_limit_bytes = memory_limit_bytes
+        self.no_forgetting_until_s = 0.0  # of the elapsed clock
         self.path, self.new_path = folder / JOURNAL_FILE, folder / NEW_JOURNAL_FILE
         self.limit_bytes = limit_bytes
         self.no_compaction_until_s = 0.0  # of the elapsed clock
@@ -133,8 +145,10 @@
 
     def record_message(self, message: JournaledMessage) -> None:
         """Record that the courier has accepted the message."""
-        self._require_room_for(self.bytes_to_accept(message), EXCLUSIONS_SPARE_BYTES)
-        self._write(message.to_record(), self.bytes_to_accept(message))
+        growth = self.bytes_to_accept(message)
+        if not self.has_room_for_messages(growth):
+            raise JournalFullError(f"no room for a message of {growth} bytes")
+        self._write(message.to_record(), growth)
 
     def record_attempt(self, numbers: list[int], at: float, zone: str = "") -> None:
         """Record that an attempt of these messages is about to be sent to an endpoint in that zone."""
@@ -237,6 +251,20 @@
         self.owed_data.clear()
         self.owed_count = 0
 
+    def has_room_for_messages(self, growth: int) -> bool:
+        """Return whether messages of this size in all may be accepted, on disk and in memory."""
+        if self._has_room_and_memory_for(growth):
+            return True
+        if elapsed_s() < self.no_forgetting_until_s:
+            return False
+        self.no_forgetting_until_s = elapsed_s() + FORGETTING_INTERVAL_S
+        self.forget_outlived()
+        return self._has_room_and_memory_for(growth)
+
+    def _has_room_and_memory_for(self, growth: int) -> bool:
+        memory_bytes = self.memory_bytes + growth + MESSAGE_MEMORY_BYTES
+        return memory_bytes <= self.memory_limit_bytes and self._has_room_for(growth, EXCLUSIONS_SPARE_BYTES)
+
     def _require_room_for(self, growth: int, spare_bytes: int) -> None:
         """Raise JournalFullError unless entries of this size fit, with their ends and `spare_bytes` more."""
         if not self._has_room_for(growth, spare_bytes):
--- a/hopmill/net/journal_records.py
+++ b/hopmill/net/journal_records.py
@@ -38,6 +38,8 @@
 MESSAGE_RESERVE_BYTES = 160  # of a `take` record, without its strings
 ZONES_RESERVE_BYTES = 64  # of the names of both zones in a `take` record
 NAME_RESERVE_BYTES = 24  # of a remembered id, key or name in a compacted journal, without its characters
+# What an entry takes in memory, beside the bytes that it takes in a compacted journal.
+MESSAGE_MEMORY_BYTES, NAME_MEMORY_BYTES = 1024, 200
 ENDED_ID_RETENTION_S = 30.0  # ids of ended messages are recognized for this long
 KEY_EXTRA_RETENTION_S = 60.0  # idempotency keys are remembered for this long after their window
 log = logs.part("journal")
@@ -152,6 +154,7 @@
         self.live_bytes = 0
         self.last_number = 0
         self.open_keys: Counter[str] = Counter()  # idempotency key: how many of `messages` have it
+        self.latest_by_key: dict[str, int] = {}  # idempotency key: number of its newest message, open or owed
         self.open_count = 0  # messages without a final status; `messages` also has those that owe a notice
 
     def apply(self, record: list[Any]) -> None:
@@ -198,6 +201,7 @@
         self.live_bytes += self.bytes_to_accept(message)
         if message.idempotency_key:
             self.open_keys[message.idempotency_key] += 1
+            self.latest_by_key[message.idempotency_key] = message.number
 
     def _remove_message(self, number: int) -> JournaledMessage | None:
         message = self.messages.pop(number, None)
@@ -209,7 +213,7 @@
         if key := message.idempotency_key:
             self.open_keys[key] -= 1
             if not self.open_keys[key]:
-                del self.open_keys[key]
+                del self.open_keys[key], self.latest_by_key[key]
                 self._release_key(key)
         return message
 
@@ -248,6 +252,17 @@
         key = message.idempotency_key
         return message.reserved_bytes + (name_bytes(key) if key and not self._is_key_counted(key) else 0)
 
+    @property
+    def memory_bytes(self) -> int:
+        """About how much memory the entries occupy."""
+        names = len(self.ended_ids) + len(self.first_run_by_key)
+        return self.live_bytes + MESSAGE_MEMORY_BYTES * len(self.messages) + NAME_MEMORY_BYTES * names
+
+    def open_message_with_key(self, key: str) -> JournaledMessage | None:
+        """Return the message with this idempotency key that has no final status, None if there is none."""
+        message = self.messages.get(self.latest_by_key.get(key, -1)) if key else None
+        return message if message and not message.status else None
+
     def bytes_to_exclude(self, names: set[str], name: str) -> int:
         """Return by how much live_bytes grows if the name is added to the excluded ones."""
         return 0 if name in names else name_bytes(name)
--- a/hopmill/net/operator_actions.py
+++ b/hopmill/net/operator_actions.py
@@ -7,7 +7,7 @@
 
 from hopmill import interface
 from hopmill import observe
-from hopmill.net.clients import ClientServer
+from hopmill.net.client_server import ClientServer
 from hopmill.net.operator_server import Page, Routes
 from hopmill.net.pool import MAX_ROWS, Pool
 from hopmill.net.endpoint_registry import EndpointRegistry
--- a/hopmill/net/put.py
+++ b/hopmill/net/put.py
@@ -9,6 +9,7 @@
 from hopmill.net.resp import MAX_BODY_BYTES
 
 PRINTABLE = re.compile(rb"[\x21-\x7e]{1,256}")
+MAX_FIELDS_BYTES, MAX_FIELDS = 4096, 64  # of the names and values of a message
 MAX_DESTINATION = 0xFFFF  # destinations have 16 bits
 
 
@@ -38,6 +39,18 @@
     return int(value)
 
 
+def _parse_fields(encoded: bytes) -> dict[str, str]:
+    """Return the values by name. The work for any request is bounded."""
+    if len(encoded) > MAX_FIELDS_BYTES:
+        raise BadRequestError(f"fields: over {MAX_FIELDS_BYTES} bytes")
+    if encoded.count(b",") >= MAX_FIELDS:
+        raise BadRequestError(f"fields: over {MAX_FIELDS}")
+    try:
+        return dict(pair.split("=", 1) for pair in encoded.decode().split(",") if pair)
+    except ValueError:
+        raise BadRequestError("fields: must be name=value, with commas between") from None
+
+
 def hash_order_key(text: bytes) -> int:
     """Return a 64-bit number for any text, the same in every process; 0 for zeros, which stand for no key."""
     if not text.strip(b"0"):
@@ -54,10 +67,7 @@
         raise BadRequestError("id: must be printable characters")
     if len(body) > MAX_BODY_BYTES:
         raise BadRequestError("body: over 65536 bytes")
-    try:
-        fields = dict(pair.split("=", 1) for pair in encoded_fields.decode().split(",") if pair)
-    except ValueError:
-        raise BadRequestError("fields: must be name=value, with commas between") from None
+    fields = _parse_fields(encoded_fields)
     idempotency_key = fields.get("k", "")
     if idempotency_key and not PRINTABLE.fullmatch(idempotency_key.encode()):
         raise BadRequestError("k: must be printable characters")
--- a/hopmill/net/resp.py
+++ b/hopmill/net/resp.py
@@ -48,6 +48,11 @@
         """Whether a request has begun and is not complete."""
         return bool(self.buffer) or self.values_begun > 0
 
+    @property
+    def partial_bytes(self) -> int:
+        """How much is kept of requests that are not handled yet."""
+        return len(self.buffer) + sum(map(len, self.elements))
+
     def carry(self) -> list[Any]:
         """Return what was read of an incomplete request, for the process that takes over."""
         return [
@@ -73,7 +78,7 @@
         ) = carried
         self.buffer = bytearray(buffer)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Add received bytes."""
         self.buffer += data
 
@@ -95,7 +100,8 @@
             return False
         if self.buffer[self.bulk_size : self.bulk_size + len(CRLF)] != CRLF:
             raise ProtocolError("a bulk string is longer than it said")
-        self.elements.append(bytes(self.buffer[: self.bulk_size]))
+        with memoryview(self.buffer) as view:
+            self.elements.append(bytes(view[: self.bulk_size]))
         del self.buffer[: self.bulk_size + len(CRLF)]
         self.bulk_size = -1
         self.values_missing -= 1
--- a/tests/test_carried_state.py
+++ b/tests/test_carried_state.py
@@ -406,7 +406,9 @@
     "Intake": {
         **dict.fromkeys(["host", "class_indexes", "tenant_indexes"], OWN),
         "last_number": FROM_JOURNAL,
-        **dict.fromkeys(["arrived", "arrived_numbers_by_id"], "handled before the hand-over"),
+        **dict.fromkeys(
+            ["arrived", "arrived_bytes", "arrived_numbers_by_id"], "handled before the hand-over"
+        ),
     },
     "Calls": {**dict.fromkeys(["loop", "hooks", "pool"], OWN), "in_flight": HANDED_OVER},
     "ListConfirmation": {"host": PARTS, "is_confirmed": HANDED_OVER, "timer": OWN},
