Begin nothing of a client that has left its requests unread

Cause: the end of a connection was seen only behind its last request: reading pauses while requests wait, and what lies in the receive queue is read also after a reset. Evidence: with a handful of requests (all read before the end) it happened as well, so it is not the size; the kernel knew the state in each case.

Change: the kernel is asked before each request and before a message is accepted (net/peer_state.py). A client that is gone is dropped. One that sends no more may still read: its requests are handled one at a time, and the first byte of a positive answer is written before the message is recorded, since a closed socket answers that with a reset. Destinations that no list names and expiries of ended messages are forgotten too: a flood of new numbers or long lifetimes left one of each behind.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from hopmill import logs
+from hopmill.net.peer_state import PeerState, peer_state
 from hopmill.net.put import BadRequestError, parse_put
 from hopmill.net.resp import MALFORMED, MalformedValue, ProtocolError, RequestReader
 
@@ -247,11 +248,30 @@
         The requests of a client that sends no more are handled one at a time: the answer to one shows
         whether the client has left the others behind.
         """
-        return not (self.is_closing or self.writing_paused or not self.reader.buffer)
+        if self.is_closing or self.writing_paused or not self.reader.buffer:
+            return False
+        state = peer_state(self.fileno)
+        if state is PeerState.GONE:
+            self.drop()
+        return state is PeerState.CONNECTED or (
+            state is PeerState.FINISHED
+            and not self.pending_replies
+            and not self.transport.get_write_buffer_size()
+        )
 
     def begin_positive(self, reply: Reply) -> bool:
         """See Reply.begin_positive."""
-        return not (self.is_lost or self.transport.is_closing())
+        if self.is_lost or self.transport.is_closing():
+            return False
+        state = peer_state(self.fileno)
+        is_next = self.pending_replies[0] is reply and not self.transport.get_write_buffer_size()
+        if state is PeerState.FINISHED and is_next:
+            self.transport.write(POSITIVE)
+            reply.is_begun = True
+            state = PeerState.GONE if self.transport.is_closing() else peer_state(self.fileno)
+        if state is PeerState.GONE:
+            self.drop()
+        return state is not PeerState.GONE
 
     def _read_on(self, has_more: bool) -> None:
         """Read the client further, unless it waits for its turn, for a place, or has to read its answers."""
--- a/hopmill/policy/courier.py
+++ b/hopmill/policy/courier.py
@@ -56,6 +56,7 @@
 
 DEFAULT_MAX_ATTEMPTS = 3  # of one message, the first included; Retries (Agents SDK design)
 RESERVED_FOR_NEW_MESSAGES = 2  # of Settings.max_held, kept free for new messages
+MIN_EXPIRIES_TO_PRUNE = 256
 QUICK_FAILURE_US = 200_000  # after a faster failure a message may be repeated even during an outage
 
 
@@ -143,6 +144,7 @@
             elif isinstance(event, AttemptAnswering) and (message := state.messages.get(event.message)):
                 message.is_streaming = True
         turn.drop_due_timers()
+        self._prune_expiries()
         self._expire()
         self._send_ready()
         self._make_room()
@@ -390,12 +392,21 @@
                 message.destination.queue.remove(message)
         if not message.attempts_in_flight:
             self.state.messages.pop(message.id, None)
+            self.state.forget_if_unused(message.destination)
             queues = self.state.order_queues
             if message.order_key and message in queues.get(message.order_key, ()):
                 queues[message.order_key].remove(message)
                 if not queues[message.order_key]:
                     del queues[message.order_key]
 
+    def _prune_expiries(self) -> None:
+        """Forget the expiries of messages that have ended: these may lie far in the future."""
+        if len(self.expiries) > MIN_EXPIRIES_TO_PRUNE + 2 * len(self.state.messages):
+            messages = self.state.messages
+            latest = {number: at_us for at_us, number in sorted(self.expiries) if number in messages}
+            self.expiries = [(at_us, number) for number, at_us in latest.items()]
+            heapq.heapify(self.expiries)
+
     def _expire(self) -> None:
         now_us = self.turn.now_us
         while self.expiries and self.expiries[0][0] <= now_us:
--- a/hopmill/policy/state.py
+++ b/hopmill/policy/state.py
@@ -174,6 +174,12 @@
         # the next one.
         self.order_pauses_us: dict[int, int] = {}
 
+    def forget_if_unused(self, destination: Destination) -> None:
+        """Forget a destination that has neither messages nor endpoints: clients may name any number."""
+        is_used = destination.lanes or destination.queue or destination.calls_in_flight
+        if not is_used and self.destinations.get(destination.number) is destination:
+            del self.destinations[destination.number]
+
     def pause_order(self, order_key: int, until_us: int, now_us: int) -> None:
         """Let no first attempt with the order key begin before `until_us`."""
         until_us = max(until_us, self.order_pauses_us.pop(order_key, 0))
