Hold answers of endpoints, discovery and operators' calls to bounds too

Change: at most 128 lines and 16 KiB before a body, 128 KiB of one answer on the wire, 16 KiB a read; an idle connection keeps nothing; 128 lines before the body of an operator's call (431). A first line that says 200 still counts. A line of a list that arrives in pieces is joined once.

--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -28,6 +28,7 @@
 MAX_REST_SHARE = 0.25  # of a call's time, for a connection to rest; else a new one is opened
 RESPONSE_TAIL_S = 1.0  # wait for the rest of a response whose head has been received
 MAX_RESPONSE_BYTES = 64 * 1024  # of a body; a longer response counts as none and is not waited for
+MAX_WIRE_BYTES = 2 * MAX_RESPONSE_BYTES  # of a response with its head and the framing of its chunks
 BATCH_RESULTS = {
     "done": Result.OK,
     "failed": Result.ERROR,
@@ -185,7 +186,8 @@
     def body_received(self, data: bytes) -> None:
         """Collect the body of a batch response; abandon a response over MAX_RESPONSE_BYTES."""
         self.body_bytes += len(data)
-        if self.body_bytes > MAX_RESPONSE_BYTES:
+        wire_bytes = self.connection.response_bytes if self.connection is not None else 0
+        if self.body_bytes > MAX_RESPONSE_BYTES or wire_bytes > MAX_WIRE_BYTES:
             log.warning("answer.too_long", endpoint_number=self.endpoint, most=MAX_RESPONSE_BYTES)
             self.abandon()
             self.finish_all(Outcome(Result.ERROR, retry_after_us=parse_retry_after_us(self.headers)))
--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -22,12 +22,15 @@
 LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 # Of a connect that is tried again for a while.
 MOMENTARY_ERRORS = LOCAL_ERRORS | {errno.ENETUNREACH, errno.ENETDOWN, errno.EAGAIN, errno.EINTR}
-READ_BYTES = 1 << 16
+READ_BYTES = 1 << 14
 MAX_PENDING_READS = 64  # at one time, so that a peer that never stops sending does not occupy the loop
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: [^\n]*)?\r?\n")
 MAX_STATUS_LINE_BYTES = 256
 # Of a response, kept for an upgrade; more than the longest response that calls accept.
 MAX_KEPT_BYTES = 96 * 1024
+# Of a response before its body, interim responses included. A head is read at once, so this bounds the work.
+MAX_HEAD_LINES, MAX_HEAD_BYTES = 128, 16 * 1024
+HEAD_END = b"\r\n\r\n"
 
 
 class Exchange:
@@ -74,6 +77,8 @@
         self.has_surplus = False  # the peer has sent more than its answers
         self._has_answered = False
         self._outgoing, self._sent_bytes, self._received = b"", 0, bytearray()
+        self._is_head_read = False
+        self.response_bytes = 0  # received of the present response, head and framing included
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = sock or socket.socket(family, socket.SOCK_STREAM)  # may raise OSError, see LOCAL_ERRORS
         self.sock.setblocking(False)
@@ -151,6 +156,7 @@
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
         self._outgoing, self._sent_bytes, self._received = b"".join(p for p in parts if p), 0, bytearray()
+        self._is_head_read, self.response_bytes = False, 0
         self._write()
 
     def _write(self) -> None:
@@ -197,6 +203,10 @@
 
     def _process_received(self, data: bytes) -> None:
         self._received += data[: MAX_KEPT_BYTES - len(self._received)]
+        self.response_bytes += len(data)
+        if not self._is_head_read and self._is_head_too_long():
+            self._fail()
+            return
         try:
             self.http.receive_data(data)
             self._events()
@@ -206,12 +216,18 @@
         if not data and not self.closed:
             self._fail()
 
+    def _is_head_too_long(self) -> bool:
+        end = self._received.rfind(HEAD_END)
+        size = end if end >= 0 else len(self._received)
+        return size > MAX_HEAD_BYTES or self._received.count(b"\n", 0, size) > MAX_HEAD_LINES
+
     def _events(self) -> None:
         while (exchange := self.exchange) is not None:
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
+                self._is_head_read = True
                 exchange.head_received(
                     event.status_code, {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
                 )
@@ -224,6 +240,7 @@
 
     def _end_exchange(self, exchange: Exchange) -> None:
         self.exchange, self._has_answered = None, True
+        self._received = bytearray()  # an idle connection keeps nothing
         is_reusable = self.written and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         self.has_surplus = bool(self.http.trailing_data[0])
         if is_reusable and not self.has_surplus:
--- a/hopmill/net/list_reader.py
+++ b/hopmill/net/list_reader.py
@@ -11,17 +11,21 @@
     """Collects lines until they form a document; the work for a line does not grow with those before it."""
 
     def __init__(self) -> None:
-        self.partial_line = b""
+        self.partial_line = bytearray()
         self.lines: list[bytes] = []  # of the document under way
         self.size = 0  # bytes in `lines`
         self.depth = 0  # braces opened and not closed in `lines`, braces within strings included
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the documents that end in the next part of the stream."""
-        *lines, self.partial_line = (self.partial_line + data).split(b"\n")
-        if len(self.partial_line) > MAX_LIST_BYTES:
-            lines.append(self.partial_line)
-            self.partial_line = b""
+        self.partial_line += data
+        if b"\n" not in data and len(self.partial_line) <= MAX_LIST_BYTES:
+            return []
+        *lines, rest = bytes(self.partial_line).split(b"\n")
+        if len(rest) > MAX_LIST_BYTES:
+            lines.append(rest)
+            rest = b""
+        self.partial_line = bytearray(rest)
         return [document for line in lines if line.strip() and (document := self._add_line(line))]
 
     def _add_line(self, line: bytes) -> bytes | None:
--- a/hopmill/net/operator_server.py
+++ b/hopmill/net/operator_server.py
@@ -23,6 +23,7 @@
 # discard the response.
 LINGER_S = 0.5
 MAX_CALL_BYTES = 8192
+MAX_HEAD_LINES = 128
 MAX_CONNECTIONS, DESCRIPTOR_SHARE = 32, 1 / 16  # concurrent, and as a share of the file descriptors
 BACKLOG = 64
 FORMER_ADDRESS_S = 5.0  # after an upgrade the previous address is served this long
@@ -141,8 +142,15 @@
         if len(self.received) > MAX_CALL_BYTES:
             self._answer(413, {"error": f"a call is at most {MAX_CALL_BYTES} bytes"})
             return
+        if self.request is None and self._head_lines() > MAX_HEAD_LINES:
+            self._answer(431, {"error": f"a call has at most {MAX_HEAD_LINES} lines before its body"})
+            return
         self._read(data)
 
+    def _head_lines(self) -> int:
+        end = self.received.find(b"\r\n\r\n")
+        return self.received.count(b"\n", 0, end if end >= 0 else len(self.received))
+
     def _read(self, data: bytes) -> None:
         try:
             self.http.receive_data(data)
