--- a/hopmill/net/journal.py
+++ b/hopmill/net/journal.py
@@ -25,7 +25,7 @@
 from hopmill.net.journal_compaction import (
     FIXED_RECORDS_BYTES,
     clock_record,
-    compacted_data,
+    compacted_parts,
     dispensable_from,
 )
 from hopmill.net.journal_records import (
@@ -47,6 +47,7 @@
 SET_BACK_TOLERANCE_S = 0.001
 UNLIMITED_BYTES = 1 << 60
 FORGETTING_INTERVAL_S = 0.25  # between two searches for entries that can be forgotten, for lack of room
+RESTORE_PART_BYTES = 1 << 18  # of the file, read at a time
 COMPACTION_RETRY_S = 0.5  # after a compaction that failed
 MIN_COMPACTION_BYTES = 1 << 17  # smaller files are compacted only for lack of space
 log = logs.part("journal")
@@ -94,16 +95,23 @@
             self.compact()
 
     def _restore(self) -> int:
-        data = self.path.read_bytes()
-        records, end = parse_records(data)
-        if end < len(data):
-            log.warning("journal.tail_cut", bytes=len(data) - end)
+        """Apply the records of the file, part by part; return where the last complete one ends."""
+        end, rest = 0, b""
+        with self.path.open("rb") as file:
+            while part := file.read(RESTORE_PART_BYTES):
+                records, parsed = parse_records(rest + part)
+                rest, end = (rest + part)[parsed:], end + parsed
+                self._apply_all(records)
+        if rest:
+            log.warning("journal.tail_cut", bytes=len(rest))
+        return end
+
+    def _apply_all(self, records: list[list[Any]]) -> None:
         for record in records:
             try:
                 self.apply(record)
             except (TypeError, ValueError, LookupError, AttributeError) as error:
                 log.error("journal.unusable", error=error)
-        return end
 
     def _set_time_scale(self) -> None:
         """Keep the time scale if it was written in this boot, otherwise start one by the wall clock."""
@@ -303,10 +311,10 @@
         If that fails the old file stays in use.
         """
         self.forget_outlived()
-        data = compacted_data(self)
+        parts = compacted_parts(self)
         try:
-            self._cut_off_for(len(data))
-            self._replace_file(data)
+            self._cut_off_for(sum(map(len, parts)))
+            self._replace_file(parts)
         except OSError as error:
             log.error(
                 "journal.not_compacted",
@@ -332,10 +340,11 @@
         log.warning("journal.cut_off", bytes=self.file.size - end, limit_bytes=self.limit_bytes)
         self.file.cut_off(end)
 
-    def _replace_file(self, data: bytes) -> None:
+    def _replace_file(self, parts: list[bytes]) -> None:
         new_fd = os.open(self.new_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
-            write_all(new_fd, data)
+            for part in parts:
+                write_all(new_fd, part)
             os.rename(self.new_path, self.path)
         except OSError:
             with contextlib.suppress(OSError):
@@ -343,5 +352,5 @@
             with contextlib.suppress(OSError):
                 self.new_path.unlink(missing_ok=True)
             raise
-        self.file.replace(new_fd, len(data))
+        self.file.replace(new_fd, sum(map(len, parts)))
         self._note_success()  # the new file has all that was owed
--- a/hopmill/net/journal_compaction.py
+++ b/hopmill/net/journal_compaction.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 from hopmill.net.journal_records import ENDED_ID_RETENTION_S, JournalContents, encode_record, parse_records
 
+PART_BYTES = 1 << 16  # of a compacted journal, written at a time
 FIXED_RECORDS_BYTES = 256  # of a compacted journal without messages and names: clock, known and drain records
 
 
@@ -16,15 +18,27 @@
 
 def compacted_data(contents: JournalContents) -> bytes:
     """Return a journal that has these contents, at most FIXED_RECORDS_BYTES over live_bytes."""
-    records = [
-        clock_record(contents),
-        ["known", contents.last_number, contents.ended_ids, contents.first_run_by_key],
-        ["drain", contents.drained],
-        *(["hand", uid, True] for uid in contents.excluded_endpoints),
-        *(["zone", name, True] for name in contents.excluded_zones),
-        *(message.to_record() for message in contents.messages.values()),
-    ]
-    return b"".join(map(encode_record, records))
+    return b"".join(compacted_parts(contents))
+
+
+def compacted_parts(contents: JournalContents) -> list[bytes]:
+    """Return the same in parts to be written one after the other, without a second copy in memory."""
+    parts, part = [], bytearray()
+    for record in _compacted_records(contents):
+        part += encode_record(record)
+        if len(part) >= PART_BYTES:
+            parts.append(bytes(part))
+            part.clear()
+    return [*parts, bytes(part)]
+
+
+def _compacted_records(contents: JournalContents) -> Iterator[list[Any]]:
+    yield clock_record(contents)
+    yield ["known", contents.last_number, contents.ended_ids, contents.first_run_by_key]
+    yield ["drain", contents.drained]
+    yield from (["hand", uid, True] for uid in contents.excluded_endpoints)
+    yield from (["zone", name, True] for name in contents.excluded_zones)
+    yield from (message.to_record() for message in contents.messages.values())
 
 
 def dispensable_from(data: bytes, contents: JournalContents, max_bytes: int) -> int | None:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -10,6 +10,8 @@
 from test_brain import Host, S, of_type
 
 from hopmill.interface import EndpointsListed, ListForm, MessageArrived, Refuse, Result
+from hopmill.net.journal import JOURNAL_FILE
+from hopmill.net.journal_records import JournaledMessage, encode_record
 from hopmill.net.large_requests import SMALL_REQUEST_BYTES, LargeRequests
 from hopmill.net.put import BadRequestError, parse_put
 from hopmill.net.resp import MAX_REQUEST_BYTES, RequestReader
@@ -251,3 +253,25 @@
     assert how == "end" and len(got.splitlines()) == 4
     assert {line[:1] for line in got.splitlines()} <= {b"+", b"-"} and got.endswith(PONG)
     peer.close()
+
+
+def message(number):
+    expires_at = time.time() + 5
+    return JournaledMessage(number, f"m{number}", 0, 0, 7, "", expires_at, False, b"x" * 65_000)
+
+
+def test_a_large_journal_is_read_in_parts(tmp_path):
+    # The whole file and all its records were in memory at a start: several times the open messages.
+    raw = settings(policyLimits__maxOpen=600)
+
+    async def run():
+        async with Fleet(tmp_path, raw, memory_mb=MEMORY_MB, disk_mb=64) as fleet:
+            data = b"".join(encode_record(message(number).to_record()) for number in range(600, 610)) * 40
+            (tmp_path / "state" / JOURNAL_FILE).write_bytes(data)
+            await fleet.endpoint("a", rate=1000.0)
+            await fleet.outside()
+            assert peak_mb(fleet.process.pid) < MEMORY_MB
+            ids = {(await fleet.endpoints["a"].call())[1]["x-request-id"] for _ in range(10)}
+            assert ids == {f"m{number}" for number in range(600, 610)}
+
+    asyncio.run(run())
