Play clients that hold, flood and leave, and endpoints that change zone, in the soak

Need: each class mended here becomes a kind of fault, with a mutant that it finds.

New rules: memory, answer, left, zone; couriers are limited to 64 MB. They are drawn apart, so the other faults of a seed stay.

--- a/hopmill/soak/bad_clients.py
+++ b/hopmill/soak/bad_clients.py
@@ -18,6 +18,7 @@
 STOP_AFTER_BYTES = 62_000
 REQUESTS_AT_ONCE = 4
 FLOOD_PART_BYTES = 16 * 1024
+LEFT_PREFIX = "left-"  # of the ids of messages whose client leaves
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER: closing resets the connection
 
 
@@ -34,12 +35,11 @@
     message_class: str = "safe"
     tenant: str = "t"
     destination: int = 7
+    lifetime_ms: int = 5000
 
-    def put(
-        self, message_id: str, body: bytes = b"hello", lifetime_ms: int = 5000, more: bytes = b""
-    ) -> bytes:
+    def put(self, message_id: str, body: bytes = b"hello", more: bytes = b"") -> bytes:
         """Return the bytes of a message."""
-        fields = f"c={self.message_class},t={self.tenant},d={lifetime_ms},dest={self.destination}"
+        fields = f"c={self.message_class},t={self.tenant},d={self.lifetime_ms},dest={self.destination}"
         return command(b"MSG.PUT", b"0" * 16, message_id.encode(), fields.encode() + more, body)
 
 
@@ -59,7 +59,7 @@
     if kind is Holding.HALF:
         return target.put(name, LARGE_BODY)[:STOP_AFTER_BYTES]
     if kind is Holding.FIELDS:
-        return target.put(name, more=b"," + SHORT_FIELDS)
+        return target.put(name, more=b"," + SHORT_FIELDS) * REQUESTS_AT_ONCE
     return command(b"PING", LARGE_BODY[:60_000]) * REQUESTS_AT_ONCE
 
 
--- a/hopmill/soak/courier.py
+++ b/hopmill/soak/courier.py
@@ -12,10 +12,16 @@
 from typing import Any
 
 from hopmill.soak.agent import Agent
+from hopmill.soak.rules import MEMORY_LIMIT_MB, ZONE_BOUND_CLASS
 from hopmill.soak.process import CONTROL_VARIABLE, ProcessFaults
 from hopmill.standin.courier import CourierProcess
+from hopmill.standin.load import LoadClass
 from hopmill.standin.loopback_system import MESSAGE_CLASSES, Options, courier_toml
 
+SOAK_CLASSES = [
+    *MESSAGE_CLASSES,
+    LoadClass(ZONE_BOUND_CLASS, 0.15, 2.0, 8.0, keyed=True, zone_bound=True),
+]
 RATE_PER_S = 25.0  # messages for each courier
 
 
@@ -34,7 +40,7 @@
 
     def __init__(self, number: int, folder: Path, options: SoakOptions, agent: Agent) -> None:
         settings = Options(couriers=options.couriers, seed=options.seed)
-        self.settings_toml = courier_toml(agent.port, settings, number, MESSAGE_CLASSES)
+        self.settings_toml = courier_toml(agent.port, settings, number, SOAK_CLASSES, MEMORY_LIMIT_MB)
         super().__init__(f"courier-{number}", folder, self.settings_toml)
         self.agent = agent
         self.process_faults = ProcessFaults(folder / f"{self.name}.faults")
--- a/hopmill/soak/endpoints.py
+++ b/hopmill/soak/endpoints.py
@@ -18,6 +18,8 @@
 LARGE_BUDGET_CALLS = 30  # from here on the margin for chance is the smaller one
 MAX_HANDSHAKE_S = 0.15  # of a new connection, before its first call is read
 ENDPOINTS_PER_PARTNER = 3
+MUTE, MUTE_POLL_S = "mute", 0.05  # a trouble: calls run, and no answer comes
+MUTE_BEFORE_MOVE_S = 0.3  # so that calls are in flight when an endpoint moves
 ZONES = ("hall-a", "hall-b")
 
 
@@ -34,6 +36,13 @@
         if text.startswith(b"HTTP/1.1 200"):
             self.surplus.answered(writer, text)
 
+    async def _answer_call(self, path: str, headers: dict[str, str], body: bytes) -> bytes:
+        """Do the work of a call; while the endpoint is mute, its answer is held back."""
+        text = await super()._answer_call(path, headers, body)
+        while self.trouble == MUTE:
+            await asyncio.sleep(MUTE_POLL_S)
+        return text
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Delay the first call of the connection, then answer its calls."""
         await asyncio.sleep(self.rng.uniform(0, MAX_HANDSHAKE_S))
@@ -89,6 +98,7 @@
         endpoint = SoakEndpoint(partner, uid, zone, limit, self.ledger, self.rng)
         await endpoint.start()
         self.running[uid] = endpoint
+        self.ledger.zones[uid] = zone
         self.targets[uid] = {
             "uid": uid,
             "endpoint": f"{HOST}:{endpoint.port}",
@@ -125,6 +135,28 @@
         endpoint = self.running[target["uid"]]
         await self._add(endpoint.settings)
 
+    async def move(self, choice: float, seconds: float) -> None:
+        """Let an endpoint be mute for a while, in which it is listed in the other zone.
+
+        choice: which one, as a share of those in service that have not moved and have no trouble.
+        """
+        uids = [uid for uid, target in self.targets.items() if target["state"] == "in_service"]
+        uids = [uid for uid in uids if uid not in self.ledger.moved and not self.running[uid].trouble]
+        if not uids:
+            return
+        uid = uids[int(choice * len(uids))]
+        endpoint = self.running[uid]
+        endpoint.trouble = MUTE
+        await asyncio.sleep(MUTE_BEFORE_MOVE_S)
+        self.ledger.moved.add(uid)
+        if uid in self.targets:
+            endpoint.zone = next(zone for zone in ZONES if zone != endpoint.zone)
+            self.targets[uid]["az"] = endpoint.zone
+            self._tell(uid)
+        await asyncio.sleep(seconds)
+        if endpoint.trouble == MUTE:
+            endpoint.trouble = ""
+
     async def be_out(self, choice: float, seconds: float) -> None:
         """Let all endpoints of a partner with a rate limit be down; they come back cold.
 
--- a/hopmill/soak/process.py
+++ b/hopmill/soak/process.py
@@ -24,6 +24,11 @@
         self.clock_offset_s, self.connect_errno, self.accept_errno, self.max_io_bytes = 0.0, 0, 0, 0
         self.write()
 
+    @property
+    def is_any_set(self) -> bool:
+        """Whether a system call fails or does little now."""
+        return bool(self.connect_errno or self.accept_errno or self.max_io_bytes)
+
     def write(self) -> None:
         """Put the present values in force."""
         data = CONTROL.pack(self.clock_offset_s, self.connect_errno, self.accept_errno, self.max_io_bytes)
@@ -55,6 +60,11 @@
             """Read no more than the limit."""
             return super().recv(min(size, CONTROL.unpack(control[:])[3] or size), flags)
 
+        def recv_into(self, buffer: memoryview, size: int = 0, flags: int = 0) -> int:
+            """Read no more than the limit."""
+            most = CONTROL.unpack(control[:])[3] or len(buffer)
+            return super().recv_into(buffer, min(size or len(buffer), most), flags)
+
         def send(self, data: bytes, flags: int = 0) -> int:
             """Write no more than the limit."""
             return super().send(memoryview(data)[: CONTROL.unpack(control[:])[3] or None], flags)
--- a/hopmill/soak/records.py
+++ b/hopmill/soak/records.py
@@ -32,6 +32,12 @@
     # By courier and endpoint: when it counts as told that the endpoint drains or is gone.
     told_s: dict[tuple[str, str], float] = field(default_factory=dict)
 
+    zones: dict[str, str] = field(default_factory=dict)  # by endpoint: the zone in which it was first listed
+    moved: set[str] = field(default_factory=set)  # endpoints that are listed in another zone since
+    calls_after_move: set[str] = field(default_factory=set)  # messages that a moved endpoint was called with
+    late_answers_s: list[tuple[str, float]] = field(default_factory=list)  # to ordinary clients, by courier
+    peak_memory_mb: dict[str, float] = field(default_factory=dict)  # by courier, of any of its processes
+
     falls_s: list[float] = field(default_factory=list)  # partners in slow start that were pushed over
     outages_s: list[tuple[float, float]] = field(default_factory=list)  # of partners, from and until
 
@@ -42,8 +48,14 @@
     def record_call(self, endpoint: str, message_ids: list[str]) -> None:
         """Record that a call has reached an endpoint."""
         courier = self.courier_by_message.get(message_ids[0], "") if message_ids else ""
+        if endpoint in self.moved:
+            self.calls_after_move.update(message_ids)
         self.calls_seen.append(SeenCall(courier, endpoint, time.monotonic(), tuple(message_ids)))
 
+    def record_memory(self, courier: str, peak_mb: float) -> None:
+        """Record the peak memory of a courier's process."""
+        self.peak_memory_mb[courier] = max(peak_mb, self.peak_memory_mb.get(courier, 0.0))
+
     def record_start(self, courier: str) -> None:
         """Record the first moment of a courier's next process."""
         self.starts_s.setdefault(courier, []).append(time.monotonic())
--- a/hopmill/soak/rules.py
+++ b/hopmill/soak/rules.py
@@ -4,10 +4,14 @@
 
 from bisect import bisect_left, bisect_right
 
+from hopmill.soak.bad_clients import LEFT_PREFIX
 from hopmill.soak.records import SeenCall, SoakLedger
+from hopmill.standin.client import ANSWER_TIMEOUT_S
 
 DRAIN_GRACE_S = 0.5
 NOTICED_S = 1.0  # of an outage
+ZONE_BOUND_CLASS = "receipt"  # of the load: its keys are known in one zone only
+MEMORY_LIMIT_MB = 64  # of a courier, in its configuration
 SLACK_S = 0.05  # by which every time limit is longer on sockets
 STARTUP_S = (
     1.5  # a process may need this long before it can ask its agent; a part of it is the soak's own pause
@@ -22,6 +26,56 @@
         *repeated_effects(ledger),
         *ledger.contradictions(),
         *falls_in_slow_start(ledger),
+        *repeats_in_another_zone(ledger),
+        *memory_over_limit(ledger),
+        *late_answers(ledger),
+        *calls_for_clients_that_left(ledger),
+    ]
+
+
+def repeats_in_another_zone(ledger: SoakLedger) -> list[str]:
+    """Messages of the class keyed by zone that endpoints of two zones have been called with.
+
+    A call with an endpoint after its move is left out: which zone its courier knew of can't be told.
+    """
+    zones: dict[str, set[str]] = {}
+    for call in ledger.calls_seen:
+        for message in call.messages:
+            submission = ledger.entries.get(message)
+            if submission and submission.class_name == ZONE_BOUND_CLASS:
+                zones.setdefault(message, set()).add(ledger.zones.get(call.endpoint, ""))
+    return [
+        f"zone: {message} was sent to {' and '.join(sorted(names))}"
+        for message, names in zones.items()
+        if len(names) > 1 and message not in ledger.calls_after_move
+    ]
+
+
+def memory_over_limit(ledger: SoakLedger) -> list[str]:
+    """Couriers whose process took more memory than its configuration allows."""
+    return [
+        f"memory: {courier} took {peak_mb:.1f} MB of {MEMORY_LIMIT_MB}"
+        for courier, peak_mb in ledger.peak_memory_mb.items()
+        if peak_mb > MEMORY_LIMIT_MB
+    ]
+
+
+def late_answers(ledger: SoakLedger) -> list[str]:
+    """Answers to ordinary clients that came too late beside clients that hold or flood."""
+    return [
+        f"answer: a client of {courier} waited {waited_s:.3f} s"
+        for courier, waited_s in ledger.late_answers_s
+        if waited_s > ANSWER_TIMEOUT_S
+    ]
+
+
+def calls_for_clients_that_left(ledger: SoakLedger) -> list[str]:
+    """Calls for messages that their client had sent to a stopped process, and left before it went on."""
+    return [
+        f"left: {call.endpoint} was called for {message} at {call.at_s:.3f}"
+        for call in ledger.calls_seen
+        for message in call.messages
+        if message.startswith(LEFT_PREFIX)
     ]
 
 
--- a/hopmill/soak/run.py
+++ b/hopmill/soak/run.py
@@ -16,13 +16,13 @@
 
 from hopmill.soak import rules, schedule
 from hopmill.soak.agent import Agent
-from hopmill.soak.courier import RATE_PER_S, SoakCourier, SoakOptions
+from hopmill.soak.client_faults import ClientFaults
+from hopmill.soak.courier import RATE_PER_S, SOAK_CLASSES, SoakCourier, SoakOptions
 from hopmill.soak.endpoints import Endpoints
 from hopmill.soak.records import SoakLedger
-from hopmill.soak.schedule import AGENT_KINDS, CALL_KINDS, Fault, Kind
+from hopmill.soak.schedule import AGENT_KINDS, CALL_KINDS, CLIENT_KINDS, Fault, Kind
 from hopmill.soak.surplus import SurplusSender
 from hopmill.standin.load import LoadGenerator
-from hopmill.standin.loopback_system import MESSAGE_CLASSES
 from hopmill.standin.partner import PartnerSettings
 
 
@@ -45,6 +45,10 @@
         self.faults = schedule.draw(
             options.seed, options.seconds, options.couriers, FAULTS_PER_S * options.couriers
         )
+        self.faults += schedule.draw_client_faults(options.seed, options.seconds, options.couriers)
+        self.faults += schedule.draw_zone_moves(options.seed, options.seconds)
+        self.faults.sort(key=lambda fault: fault.at_s)
+        self.client_faults = ClientFaults(self.ledger)
         self.injected: Counter[str] = Counter()
 
     async def run(self) -> dict[str, Any]:
@@ -87,7 +91,7 @@
         options = self.options
         load = LoadGenerator(
             self.ledger,
-            MESSAGE_CLASSES,
+            SOAK_CLASSES,
             [partner.number for partner in self.partners],
             lambda: [courier.port for courier in self.couriers if courier.is_accepting],
             random.Random(f"load {options.seed}"),
@@ -120,6 +124,8 @@
             await self.endpoints.replace(fault.choice, fault.duration_s)
         elif fault.kind is Kind.OUTAGE:
             await self.endpoints.be_out(fault.choice, fault.duration_s)
+        elif fault.kind is Kind.ZONE_MOVE:
+            await self.endpoints.move(fault.choice, fault.duration_s)
         elif fault.kind in AGENT_KINDS:
             await self._inject_into_agent(courier, fault)
         elif fault.kind in CALL_KINDS:
@@ -128,7 +134,10 @@
             return  # it has another fault already
         else:
             async with courier.process_lock:
-                await self._inject_into_process(courier, fault)
+                if fault.kind in CLIENT_KINDS:
+                    await self.client_faults.inject(courier, fault)
+                else:
+                    await self._inject_into_process(courier, fault)
         self.injected[fault.kind.value] += 1
 
     async def _inject_into_agent(self, courier: SoakCourier, fault: Fault) -> None:
@@ -188,6 +197,7 @@
 
     async def _end(self) -> None:
         for courier in self.couriers:
+            self.client_faults.record_memory(courier)
             courier.signal(signal.SIGCONT)
             courier.kill()
         for courier in self.couriers:
@@ -208,6 +218,7 @@
             "calls": len(self.ledger.calls_seen),
             "drains_told": len(self.ledger.told_s),
             "falls": len(self.ledger.falls_s),
+            "peak_memory_mb": round(max(self.ledger.peak_memory_mb.values(), default=0.0), 1),
             "excused_calls": rules.excused_calls(self.ledger),
             "violations": rules.violations(self.ledger),
         }
--- a/hopmill/soak/schedule.py
+++ b/hopmill/soak/schedule.py
@@ -10,7 +10,7 @@
 
 
 class Kind(Enum):
-    """What happens. The first nine concern a courier process, the next four its agent of discovery."""
+    """What happens. The first nine concern a process, the next four its agent, the last three its clients."""
 
     KILL = "kill"  # SIGKILL, and an endpoint begins to drain; after `duration_s` it starts again
     RESTART = "restart"  # SIGTERM; after its end it starts again
@@ -27,10 +27,17 @@
     WATCH_MUTE = "watch_mute"  # nothing more arrives on the open watch
     OUTAGE = "outage"  # all endpoints of a partner are down for `duration_s`, and come back cold
     DRAIN = "drain"  # an endpoint begins to drain; it is gone after `duration_s`, and another one comes
+    ZONE_MOVE = "zone_move"  # an endpoint answers nothing for `duration_s`, and is listed in another zone
+    CLIENTS_HOLD = "clients_hold"  # many clients send large requests, or stop in the middle of one
+    CLIENTS_FLOOD = "clients_flood"  # requests with thousands of fields, or one connection at full speed
+    CLIENTS_LEAVE = "clients_leave"  # they send requests to a process that is stopped, and leave
 
 
 CALL_KINDS = (Kind.SHORT_IO, Kind.CLOCK_STEP, Kind.CONNECT_ERROR, Kind.ACCEPT_ERROR)
 AGENT_KINDS = (Kind.AGENT_DOWN, Kind.AGENT_AWAY, Kind.WATCH_CUT, Kind.WATCH_MUTE)
+CLIENT_KINDS = (Kind.CLIENTS_HOLD, Kind.CLIENTS_FLOOD, Kind.CLIENTS_LEAVE)
+ZONE_MOVES_PER_S = 0.15
+CLIENT_FAULTS_PER_S = 0.1  # for each courier
 WEIGHTS = {
     Kind.KILL: 3,
     Kind.RESTART: 1,
@@ -59,6 +66,10 @@
     Kind.AGENT_AWAY: (0.2, 3.0),
     Kind.OUTAGE: (1.0, 4.0),
     Kind.DRAIN: (1.0, 2.5),
+    Kind.ZONE_MOVE: (1.0, 2.5),
+    Kind.CLIENTS_HOLD: (0.5, 1.5),
+    Kind.CLIENTS_FLOOD: (0.5, 1.5),
+    Kind.CLIENTS_LEAVE: (0.05, 0.15),
 }
 MAX_START_PAUSE_S = 0.6  # how long a process is stopped during its start, at most
 MAX_SPARE_BYTES = 200  # about two records
@@ -113,3 +124,27 @@
             )
         )
     return faults
+
+
+def draw_client_faults(seed: int, seconds: float, couriers: int) -> list[Fault]:
+    """Return the faults that clients cause, in order of time; drawn apart from the others."""
+    rng = random.Random(f"soak clients {seed}")
+    faults: list[Fault] = []
+    at_s = FAULT_FREE_S
+    while (at_s := at_s + rng.expovariate(CLIENT_FAULTS_PER_S * couriers)) < seconds - FAULT_FREE_S:
+        kind = rng.choice(CLIENT_KINDS)
+        duration_s = round(rng.uniform(*DURATIONS_S[kind]), 3)
+        courier = rng.randrange(couriers)
+        faults.append(Fault(round(at_s, 3), kind, duration_s, courier, choice=round(rng.random(), 3)))
+    return faults
+
+
+def draw_zone_moves(seed: int, seconds: float) -> list[Fault]:
+    """Return the moves of endpoints to another zone, in order of time; drawn apart from the others."""
+    rng = random.Random(f"soak zones {seed}")
+    faults: list[Fault] = []
+    at_s = FAULT_FREE_S
+    while (at_s := at_s + rng.expovariate(ZONE_MOVES_PER_S)) < seconds - FAULT_FREE_S:
+        duration_s = round(rng.uniform(*DURATIONS_S[Kind.ZONE_MOVE]), 3)
+        faults.append(Fault(round(at_s, 3), Kind.ZONE_MOVE, duration_s, choice=round(rng.random(), 3)))
+    return faults
--- a/hopmill/standin/load.py
+++ b/hopmill/standin/load.py
@@ -27,6 +27,7 @@
     lifetime_s: float  # from the time at which a message is due to its deadline
     unsafe: bool = False  # may take effect once at most
     keyed: bool = False  # carries an idempotency key
+    zone_bound: bool = False  # its keys are known in one zone only
 
 
 class LoadGenerator:
--- a/hopmill/standin/loopback_system.py
+++ b/hopmill/standin/loopback_system.py
@@ -25,6 +25,7 @@
 ]
 TROUBLE_BEGIN_SHARE, TROUBLE_END_SHARE = 0.3, 0.55  # of the time in which messages are submitted
 MAX_BATCH = 10  # of the partners that take several messages in a call
+DEFAULT_MEMORY_MB = 192  # of a courier
 KEY_WINDOW_MS = 8000  # for which partners remember idempotency keys, as the configuration declares
 RESTART_DELAY_S = 0.3  # from the end of a courier process to its next start
 POLL_INTERVAL_S = 0.25  # between two checks of the processes, each followed by a report of progress
@@ -41,14 +42,22 @@
 kinds = [{{name = "plain"}}, {{name = "bundles", bundle = {bundle}}}, {{name = "apart", routes_apart = true}}]
 tenants = [{{name = "demo", share = 1.0, quota_per_s = 1e6}}]
 log = {{level = "{level}", lines_per_s = 2000}}
-limits = {{disk_mb = 16}}
+limits = {{disk_mb = 16, memory_mb = {memory_mb}}}
 calls = {{slots = 48, connect_ms = 500}}
 retries = {{attempts = 5, longest_told_wait_ms = 2000}}
 returning = {{cold_share = 0.2, cold_ms = 2000, fall_multiple = 2.5, fall_ms = 1000, drain_grace_ms = 2000}}
 fleet = {{couriers = {couriers}, me = {me}}}
 {classes}
 """
-CLASS_TOML = '[[classes]]\nname = "{}"\naim_ms = {}\ndeadline_ms = {}\neffect = "{}"\nkey_window_ms = {}\n'
+CLASS_TOML = """
+[[classes]]
+name = "{}"
+aim_ms = {}
+deadline_ms = {}
+effect = "{}"
+key_window_ms = {}
+key_scope = "{}"
+"""
 
 
 @dataclass(frozen=True)
@@ -240,7 +249,13 @@
     ]
 
 
-def courier_toml(discovery_port: int, options: Options, index: int, classes: list[LoadClass]) -> str:
+def courier_toml(
+    discovery_port: int,
+    options: Options,
+    index: int,
+    classes: list[LoadClass],
+    memory_mb: int = DEFAULT_MEMORY_MB,
+) -> str:
     """Return the configuration of one courier, but for its name, addresses and state folder."""
     effects = [(c, "unsafe" if c.unsafe else "keyed" if c.keyed else "safe") for c in classes]
     return COURIER_TOML.format(
@@ -251,10 +266,16 @@
         couriers=options.couriers,
         me=index,
         bundle=MAX_BATCH,
+        memory_mb=memory_mb,
         zones=", ".join(f'{{name = "{z}"}}' for z in ZONES),
         classes="\n".join(
             CLASS_TOML.format(
-                c.name, int(c.aim_s * 1e3), int(c.lifetime_s * 1e3), effect, KEY_WINDOW_MS if c.keyed else 0
+                c.name,
+                int(c.aim_s * 1e3),
+                int(c.lifetime_s * 1e3),
+                effect,
+                KEY_WINDOW_MS if c.keyed else 0,
+                "zone" if c.zone_bound else "all",
             )
             for c, effect in effects
         ),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,12 @@
 
 
 def test_a_seed_gives_one_schedule():
-    drawn = [schedule.draw(seed, 90.0, 4, 3.0) for seed in (1, 1, 2)]
+    drawn = [
+        schedule.draw(seed, 90.0, 4, 3.0)
+        + schedule.draw_client_faults(seed, 90.0, 4)
+        + schedule.draw_zone_moves(seed, 90.0)
+        for seed in (1, 1, 2)
+    ]
     assert drawn[0] == drawn[1] != drawn[2]
     assert {fault.kind for fault in drawn[0]} == set(schedule.Kind)
 
