--- a/hopmill/net/endpoint_registry.py
+++ b/hopmill/net/endpoint_registry.py
@@ -46,6 +46,8 @@
         self.kinds = {k.name: n for n, k in enumerate(settings.kinds)}
         self.zones = {z: n for n, z in enumerate(zones)}
         self.uids: dict[str, int] = {}
+        self.names: dict[int, str] = {}  # the same by number
+        self.last_number = 0  # no number is given twice
         self.entries: dict[int, interface.ListEntry] = {}
         self.targets: dict[int, dict[str, Any]] = {}  # as received from discovery
         # By endpoint that has left the list, the oldest first: its key in retry_after_until.
@@ -123,25 +125,37 @@
         if endpoint in self.entries:
             self.removed_keys[endpoint] = self._retry_after_key(endpoint)
             if len(self.removed_keys) > MAX_REMOVED:
-                self.removed_keys.popitem(last=False)
+                self._forget(*self.removed_keys.popitem(last=False))
         self.entries.pop(endpoint, None)
         self.targets.pop(endpoint, None)
         pool.forget(endpoint)
 
+    def _forget(self, endpoint: int, retry_after_key: tuple[int, int]) -> None:
+        """Forget an endpoint that left the list long ago: its own wait, and its number unless excluded."""
+        if endpoint in self.entries:
+            return
+        if retry_after_key[1] == endpoint:
+            self.retry_after_until.pop(retry_after_key, None)
+        if self.may_serve(endpoint, UNKNOWN_ZONE):
+            self.uids.pop(self.names.pop(endpoint, ""), None)
+
     def _parse_target(self, target: dict[str, Any]) -> tuple[interface.ListEntry, Address, float]:
-        number = self.number(str(target["uid"]))
+        uid, destination, state = (
+            str(target["uid"]),
+            int(target["pod_group"]),
+            ENDPOINT_STATES[target["state"]],
+        )
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zone(str(target.get("az", "")))
         rate = float(target.get("capacity_hint") or 0.0)
         if not math.isfinite(rate):  # the decision core paces calls by it
             raise ValueError("capacity_hint")
-        entry = interface.ListEntry(
-            number, int(target["pod_group"]), ENDPOINT_STATES[target["state"]], rate, kind, zone
-        )
         address = parse_address(target["endpoint"], "endpoint")
         ipaddress.ip_address(address[0])  # a host name would need a lookup that blocks the loop
         boot_ms = float(target.get("boot_ms") or 0.0)
         if not math.isfinite(boot_ms):
             raise ValueError("boot_ms")
+        # Last: a target that can't be read gets no number.
+        entry = interface.ListEntry(self.number(uid), destination, state, rate, kind, zone)
         return entry, address, boot_ms
 
     # Names and numbers
@@ -185,7 +199,18 @@
 
     def number(self, uid: str) -> int:
         """Number of an endpoint, assigned at its first use."""
-        return self.uids.setdefault(uid, len(self.uids) + 1)
+        number = self.uids.get(uid)
+        if number is None:
+            self.last_number += 1
+            number = self.uids[uid] = self.last_number
+            self.names[number] = uid
+        return number
+
+    def restore_numbers(self, uids: dict[str, int], last_number: int) -> None:
+        """Go on with the numbers of the previous process."""
+        self.uids.update(uids)
+        self.names.update({number: uid for uid, number in uids.items()})
+        self.last_number = max(last_number, *self.names, 0)
 
     def uid(self, number: int) -> str:
         """Name of an endpoint, "#number" if it is not listed."""
--- a/hopmill/net/handover.py
+++ b/hopmill/net/handover.py
@@ -119,6 +119,7 @@
         payload = HandoverPayload({"format": PAYLOAD_FORMAT})
         payload.values.update(
             uids=host.registry.uids,
+            last_endpoint_number=host.registry.last_number,
             known={"rev": host.watch.revision, "targets": list(host.registry.targets.values())},
             confirmed=host.list_confirmation.is_confirmed,
             waits=[[*key, until] for key, until in host.registry.retry_after_until.items()],
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -148,7 +148,7 @@
         Returns the clients' port.
         """
         carried = self.handover.carried  # what the previous process handed over; empty without an upgrade
-        self.registry.uids.update(carried.get("uids", {}))
+        self.registry.restore_numbers(carried.get("uids", {}), carried.get("last_endpoint_number", 0))
         known = carried.get("known", self.config.known)
         self.on_endpoint_list({"all": True, "targets": known["targets"]}, interface.ListForm.CACHED)
         number, zone = self.registry.number, self.registry.zone
--- a/tests/test_carried_state.py
+++ b/tests/test_carried_state.py
@@ -435,12 +435,15 @@
         "zones": "by name in the list, the journal and the returning zones",
         "entries": FROM_LIST,
         **dict.fromkeys(["uids", "targets", "removed_keys", "retry_after_until"], HANDED_OVER),
+        "names": "the same as uids, by number",
+        "last_number": HANDED_OVER,
     },
 }
 PAYLOAD = set(
     [
         "format",
         "uids",
+        "last_endpoint_number",
         "known",
         "confirmed",
         "waits",
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -9,7 +9,8 @@
 from peers import OK, PONG, Peer, joined, put
 from test_brain import Host, S, of_type
 
-from hopmill.interface import EndpointsListed, ListForm, MessageArrived, Refuse, Result
+from hopmill.interface import EndpointsListed, ListForm, MessageArrived, Refuse, Result, SetByHand
+from hopmill.net.endpoint_registry import MAX_REMOVED
 from hopmill.net.journal import JOURNAL_FILE
 from hopmill.net.journal_records import JournaledMessage, encode_record
 from hopmill.net.large_requests import SMALL_REQUEST_BYTES, LargeRequests
@@ -275,3 +276,24 @@
             assert ids == {f"m{number}" for number in range(600, 610)}
 
     asyncio.run(run())
+
+
+@courier
+async def test_numbers_of_endpoints_that_left_are_forgotten_but_never_given_twice(fleet):
+    # One for each name that discovery ever sent was kept, also of entries that can't be read.
+    await fleet.endpoint("a")
+    client = await fleet.inside()
+    registry, target = fleet.host.registry, fleet.discovery.targets["a"]
+    fleet.host.journal.record_endpoint_excluded("u0", True)
+    fleet.host.handle_now(SetByHand(registry.number("u0"), True))
+    numbers = {registry.number("u0")}
+    for number in range(3 * MAX_REMOVED):
+        bad = target | {"uid": f"bad{number}", "endpoint": "nowhere"}
+        targets = [target | {"uid": f"u{number}"}, bad]
+        fleet.host.on_endpoint_list({"rev": number, "all": True, "targets": targets})
+        numbers.add(registry.number(f"u{number}"))
+        fleet.host.turn()
+    assert len(numbers) == 3 * MAX_REMOVED
+    assert len(registry.uids) == len(registry.names) <= MAX_REMOVED + 2
+    assert registry.uids["u0"] == min(numbers)
+    assert await client.put("m") == "+OK"
