Confirm a reset by the missing peer address, and wait for slow readers that half-closed

Need: a poll that answers "hang up" for a socket that is not reset would drop a client that waits; and a client that had ended its sending lost the requests behind answers that it had not read yet (by reading).

Change: a peer counts as gone only if its address is gone too; requests behind unread answers are handled once these are read.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -28,6 +28,7 @@
 DRAIN_GRACE_S = 0.5
 LINGER_S = 0.15  # after the last answer a connection is read for this time, and what comes is discarded
 MAX_ERROR_BYTES = 200  # of the text of an error answer
+UNREAD_ANSWER_POLL_S = 0.02  # of a client that sends no more
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # buffered for a client; no request of it is handled meanwhile
 MAX_REQUESTS_PER_TURN = 8  # handled for one client before other clients' requests
 MAX_INVALID_REQUESTS = 16  # in a row; a peer that sends more is disconnected
@@ -250,7 +251,7 @@
         """
         if self.is_closing or self.writing_paused or not self.reader.buffer:
             return False
-        state = peer_state(self.fileno)
+        state = self._peer_state()
         if state is PeerState.GONE:
             self.drop()
         return state is PeerState.CONNECTED or (
@@ -259,16 +260,20 @@
             and not self.transport.get_write_buffer_size()
         )
 
+    def _peer_state(self) -> PeerState:
+        if self.is_lost or self.transport.is_closing():
+            return PeerState.GONE
+        return peer_state(self.transport.get_extra_info("socket"))
+
     def begin_positive(self, reply: Reply) -> bool:
         """See Reply.begin_positive."""
-        if self.is_lost or self.transport.is_closing():
-            return False
-        state = peer_state(self.fileno)
-        is_next = self.pending_replies[0] is reply and not self.transport.get_write_buffer_size()
+        state = self._peer_state()
+        is_first = bool(self.pending_replies) and self.pending_replies[0] is reply
+        is_next = is_first and not self.transport.get_write_buffer_size()
         if state is PeerState.FINISHED and is_next:
             self.transport.write(POSITIVE)
             reply.is_begun = True
-            state = PeerState.GONE if self.transport.is_closing() else peer_state(self.fileno)
+            state = self._peer_state()
         if state is PeerState.GONE:
             self.drop()
         return state is not PeerState.GONE
@@ -279,6 +284,9 @@
             return
         if has_more:
             self.transport.pause_reading()
+        elif self.peer_sent_eof and self.transport.get_write_buffer_size():
+            # Its next request is handled once it has read the answers before.
+            asyncio.get_running_loop().call_later(UNREAD_ANSWER_POLL_S, self.server.turns.add, self)
         elif self.peer_sent_eof and not self.pending_replies:
             self.is_closing = True
             self.flush()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -278,6 +278,25 @@
     asyncio.run(run())
 
 
+@courier
+async def test_a_client_that_half_closes_and_reads_slowly_gets_each_of_its_answers(fleet):
+    await fleet.inside()
+    peer = Peer(fleet.port, room=4096)
+    ping = Client.command(b"PING", b"z" * 9000)
+    sending = asyncio.ensure_future(peer.send(ping * 60))
+    side = await joined(fleet.host, peer)
+    got = b""
+    while not sending.done():
+        got += await peer.some()
+    peer.half_close()
+    while len(got) < 60 * 9009:
+        await asyncio.sleep(0.002)
+        got += await peer.some()
+    assert got.count(b"$9000") == 60 and await bounded(peer.rest()) == (b"", "end")
+    await until(lambda: side.is_lost)
+    peer.close()
+
+
 @courier
 async def test_numbers_of_endpoints_that_left_are_forgotten_but_never_given_twice(fleet):
     # One for each name that discovery ever sent was kept, also of entries that can't be read.
