Tell a new client that has to make room when to come again

What ordinary clients saw beside 300 slow writers: new connections closed without a word while their first request was on its way (197 of 567, own load). Such a request is lost.

Cause: an idle connection that had never sent was closed like one between two requests.

Change: it is told -BUSY first.

--- a/hopmill/net/client_server.py
+++ b/hopmill/net/client_server.py
@@ -80,8 +80,8 @@
         closable = closable or next((c for c in others if c.reader.has_partial_request), newcomer)
         # Removed at once, or the next to join in this iteration of the loop would choose the same one.
         self.connection_left(closable)
-        if closable is newcomer:  # its first request may be on its way
-            closable.turn_away()
+        if not (closable.has_sent_request or closable.reader.has_partial_request):
+            closable.turn_away()  # its first request may be on its way
         else:
             closable.reject()
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -176,6 +176,23 @@
         peer.close()
 
 
+@courier
+async def test_a_new_client_that_has_to_make_room_is_told_when_to_come_again(fleet):
+    # It was closed without a word, though its first request was on its way.
+    fleet.limits["memory_mb"] = 16  # a few clients
+    await fleet.inside()
+    most = fleet.host.clients.max_clients
+    peers = [Peer(fleet.port) for _ in range(most + 1)]
+    await until(lambda: len(fleet.host.clients.connections) == most)
+    ends = [asyncio.ensure_future(peer.some()) for peer in peers]
+    done, _ = await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    assert {task.result() for task in done} == {b"-BUSY 1000\r\n"}
+    for task in ends:
+        task.cancel()
+    for peer in peers:
+        peer.close()
+
+
 @courier
 async def test_ids_of_ended_messages_are_bounded_in_memory(fleet):
     # Any number of them was remembered for 30 s.
