Bound each wait before discovery is asked again by the time in which a change binds

Cause: shared_server_backoff bounded only the first wait; each later one doubled, up to 1 s times the couriers. The waits protected the server and were derived from nothing else.

A watch that worked and is lost by many couriers at once is opened again over up to 1.5 s.

--- a/hopmill/net/backoff.py
+++ b/hopmill/net/backoff.py
@@ -5,13 +5,13 @@
 import random
 from dataclasses import dataclass
 
-MAX_RETRY_WAIT_S = 4.0
+from hopmill.net.list_budget import MAX_RETRY_WAIT_S
 
 # First and largest upper bound of a wait, in seconds.
 AGENT_MAX_WAITS_S = (0.02, 0.1)  # an agent on this machine serves this courier only
 SHARED_MAX_WAITS_S = (0.1, 1.0)  # times the couriers that ask the same server
 MIN_WAIT_SHARE = 0.25  # of the upper bound, so that retries never spin
-MIN_LONGEST_WAIT_SHARE = 0.25  # the same at the longest upper bound
+MIN_LONGEST_WAIT_SHARE = 0.75  # the same at the longest upper bound, so that a fleet asks seldom
 # A watch that has worked is opened again after a wait up to this bound, times the couriers, in a range.
 REOPEN_WAIT_PER_COURIER_S = 0.005
 REOPEN_MAX_WAIT_RANGE_S = (0.3, 1.5)
@@ -74,8 +74,7 @@
     after_refusal = shared_server_backoff(couriers)
     shortest_s, longest_s = REOPEN_MAX_WAIT_RANGE_S
     reopen_max_s = min(longest_s, max(shortest_s, couriers * REOPEN_WAIT_PER_COURIER_S))
-    shared_waits_s = (min(MAX_RETRY_WAIT_S, s * couriers) for s in SHARED_MAX_WAITS_S)
-    after_loss = Backoff(*(shared_waits_s if is_server_shared else AGENT_MAX_WAITS_S))
+    after_loss = shared_server_backoff(couriers) if is_server_shared else Backoff(*AGENT_MAX_WAITS_S)
     return RetryWaits(after_loss, after_refusal, reopen_max_s, is_server_shared)
 
 
@@ -85,5 +84,4 @@
     Waits grow with the number of couriers, so that all together retry as often as one alone would, as long as
     none outlasts its share of the time in which a change has to be learned.
     """
-    first_s, longest_s = (s * couriers for s in SHARED_MAX_WAITS_S)
-    return Backoff(min(MAX_RETRY_WAIT_S, first_s), longest_s)
+    return Backoff(*(min(MAX_RETRY_WAIT_S, wait_s * couriers) for wait_s in SHARED_MAX_WAITS_S))
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -1,9 +1,11 @@
 """Discovery that is slow, crowded, refusing or silent: changes bind in time, and what is owed is tried."""
 
 import asyncio
+import random
 import socket
 import time
 
+import pytest
 from loopback import Discovery, bounded, until
 
 from hopmill.net.backoff import retry_waits
@@ -86,6 +88,50 @@
     together(scenario((1.0, 5.5, 2.0)), scenario((5.5, 0.0, 4.0)), scenario((3.0, 3.5, 5.0)))
 
 
+class Refusing(Watched):
+    """Discovery that refuses in one way until it is back."""
+
+    async def refuse(self, how):
+        discovery = self.discovery
+        if how == "status":
+            discovery.watch_status = 503
+        elif how == "reset":
+            discovery._watch = lambda path, reader, writer: asyncio.sleep(0, writer.transport.abort())
+        elif how == "cut":
+            discovery._watch = lambda path, reader, writer: asyncio.sleep(
+                0, writer.write(b"HTTP/1.1 200 OK\r\n")
+            )
+        if how == "refused":
+            await discovery.pause()
+        discovery.drop()
+
+    async def be_back(self, how):
+        self.discovery.watch_status = 200
+        self.discovery.__dict__.pop("_watch", None)
+        if how == "refused":
+            await self.discovery.start()
+
+
+@pytest.mark.parametrize("refused_s", [5.0, 10.0])
+def test_a_drain_is_learned_in_time_after_refusals_in_a_row(refused_s, monkeypatch):
+    # Guards against waits after refusals that outlast the time in which a change binds (review/8).
+    monkeypatch.setattr(random, "uniform", lambda low, high: high)
+
+    async def scenario(how, couriers):
+        watched = await Refusing(couriers).open()
+        await asyncio.sleep(0.2)
+        await watched.refuse(how)
+        await asyncio.sleep(refused_s - 0.5)
+        watched.discovery.rev += 1
+        await asyncio.sleep(0.5)
+        await watched.be_back(how)
+        assert await watched.learned_s(change=False) < CHANGE_BOUND_S - 0.5
+        await watched.close()
+
+    kinds = ("status", "reset", "refused", "cut")
+    together(*(scenario(how, couriers) for how in kinds for couriers in (2, 24, 200, 1000)))
+
+
 def test_connections_that_come_up_late_and_a_watch_that_falls_silent_do_not_outlast_the_bound():
     async def never_up():
         watched = Watched()
