Call nothing by an old list while an accepted question to discovery is unanswered

Cause: ListConfirmation took 1 s without an answer for an outage of discovery, whether the question had been accepted or not. Whether calls may begin by a list was decided by a clock alone.

Change: ListFreshness, the one owner of the list's age, decides until when the list may be used, at a start, an upgrade (2 s), SIGHUP (4 s), after a loss, a silence or refusals (6 s); after that calls wait while an accepted question is unanswered, up to 6 s of silence of a shared server and 1 s of an agent. Discovery that refuses or can't be reached holds nothing back after a new process's first second. ListConfirmation only carries this out; it is asked once more before each write. Metrics: validity of the list, state of discovery, questions, given up ones.

--- a/hopmill/net/attempts.py
+++ b/hopmill/net/attempts.py
@@ -7,6 +7,7 @@
 from hopmill import interface, logs
 from hopmill.net.calls import CallItem, Outcome
 from hopmill.net.journal_records import JournaledMessage
+from hopmill.net.observer import WithheldReason
 
 if TYPE_CHECKING:
     from hopmill.net.host import Host
@@ -29,9 +30,15 @@
         """Return whether a call to the endpoint may be written now, and log a call that is withheld."""
         host = self.host
         self._read_pending()
-        if host.registry.may_write(endpoint, host.clock()):
+        if host.list_confirmation.is_holding:
+            reason = WithheldReason.LIST_OUTDATED
+        elif not host.registry.is_usable(endpoint):
+            reason = WithheldReason.NOT_IN_SERVICE
+        elif not host.registry.may_write(endpoint, host.clock()):
+            reason = WithheldReason.RETRY_AFTER
+        else:
             return True
-        host.observer.call_withheld(host.registry.uid(endpoint), host.registry.is_usable(endpoint))
+        host.observer.call_withheld(host.registry.uid(endpoint), reason)
         return False
 
     def _read_pending(self) -> None:
--- a/hopmill/net/handover.py
+++ b/hopmill/net/handover.py
@@ -50,6 +50,14 @@
         """What the previous process handed over; empty if there was no hand-over."""
         return self.payload.values
 
+    @property
+    def is_list_confirmed(self) -> bool:
+        """Whether discovery has confirmed the list to the previous process.
+
+        Versions before the field was added handed over confirmed lists only.
+        """
+        return bool(self.carried) and self.carried.get("confirmed", True)
+
     def close(self) -> None:
         """Stop listening and give up the ownership of the folder."""
         if self.listener:
@@ -122,6 +130,7 @@
             last_endpoint_number=host.registry.last_number,
             known={"rev": host.watch.known_revision, "targets": list(host.registry.targets.values())},
             confirmed=host.list_confirmation.is_confirmed,
+            list_valid_until=host.watch.freshness.valid_until,
             waits=[[*key, until] for key, until in host.registry.retry_after_until.items()],
             learned=learned.collect(),
             lanes=[dataclasses.astuple(row) for row in learned.collect_lanes()],
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -26,6 +26,7 @@
 from hopmill.net.handover import Handover
 from hopmill.net.intake import Intake, refusal
 from hopmill.net.list_confirmation import ListConfirmation
+from hopmill.net.list_freshness import ListFreshness
 from hopmill.net.notices import NoticeSender
 from hopmill.net.observer import Observer
 from hopmill.net.operator_server import OperatorServer
@@ -120,12 +121,11 @@
             loop,
             config.discovery,
             config.known["rev"],
-            self._on_list_received,
+            self.on_endpoint_list,
             retry_waits(self.settings.couriers, self.settings.list_on_request),
+            ListFreshness(self.settings.list_on_request, self.handover.is_list_confirmed),
         )
-        carried = self.handover.carried
-        # Versions before the field was added handed over confirmed lists only.
-        self.list_confirmation = ListConfirmation(self, bool(carried) and carried.get("confirmed", True))
+        self.list_confirmation = ListConfirmation(self)
         self.options = Options()
         self.observer = Observer(self.settings)
         self.metrics: Any = None  # net.metrics.Metrics, only if the operator API is enabled
@@ -176,7 +176,7 @@
             self._enable_metrics()
             self.operator_server.listen(self.config.operator)
         self.watch.open()
-        self.list_confirmation.start_timer()
+        self.list_confirmation.start()
         if carried:
             self.handover.resume_connections()
         if self.config.listen_fd is not None:
@@ -438,11 +438,6 @@
 
     # Changes of endpoints, options and configuration
 
-    def _on_list_received(self, change: dict[str, Any]) -> None:
-        """Apply a list or a change from the watch."""
-        self.on_endpoint_list(change)
-        self.list_confirmation.on_list()
-
     def on_endpoint_list(self, change: dict[str, Any], form: interface.ListForm | None = None) -> None:
         """Apply a complete list or a change of endpoints from discovery."""
         self.post(self.registry.apply_list(change, form, self.pool))
--- a/hopmill/net/list_confirmation.py
+++ b/hopmill/net/list_confirmation.py
@@ -1,8 +1,8 @@
-"""Holds back calls of a new process until discovery has confirmed the cached endpoint list.
+"""Holds calls back while the endpoint list is out of date and discovery has been asked for it.
 
-The list that a process starts with may name endpoints that have begun to drain or are gone since. Discovery
-counts these changes as told from the process's first moment, so no call may be sent by that list unless
-discovery does not answer.
+The list that a process starts with may name endpoints that have begun to drain or are gone since; so may
+the list of a process whose watch was lost or fell silent. `ListFreshness` decides; this module asks it at
+the right moments and tells the decision core.
 """
 
 from __future__ import annotations
@@ -11,62 +11,69 @@
 from typing import TYPE_CHECKING
 
 from hopmill import interface, logs
+from hopmill.net.list_budget import START_HOLD_S
 
 if TYPE_CHECKING:
     from hopmill.net.host import Host
 
-CONFIRMATION_TIMEOUT_S = 1.0  # after this time without an answer discovery counts as down
+# A new process goes by its cached list after this time if discovery refuses or can't be reached.
+CONFIRMATION_TIMEOUT_S = START_HOLD_S
 log = logs.part("courier")
 
 
 class ListConfirmation:
-    """Waits for the first list from discovery, for a bounded time."""
+    """Tells the decision core when calls may begin by the list and when they may not."""
 
-    def __init__(self, host: Host, is_confirmed: bool) -> None:
-        """is_confirmed: discovery has confirmed the list to the previous process, which handed it over."""
-        self.host = host
-        self.is_confirmed = is_confirmed
+    def __init__(self, host: Host) -> None:
+        self.host, self.freshness = host, host.watch.freshness
+        self.is_holding = not self.freshness.is_confirmed
+        self.held_since = host.loop.time()
         self.timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether discovery has confirmed the list to this process, or to the one that handed it over."""
+        return self.freshness.is_confirmed
+
     def initial_events(self) -> list[interface.Event]:
         """Return the events for the first turn."""
-        if self.is_confirmed:
-            return []
-        return [interface.AwaitList(True)]
-
-    def start_timer(self) -> None:
-        """Bound the wait from now on."""
-        if not self.is_confirmed:
-            self.timer = self.host.loop.call_later(CONFIRMATION_TIMEOUT_S, self._check_request)
-
-    def on_list(self) -> None:
-        """Let calls begin: a list from discovery has been applied."""
-        if not self.is_confirmed:
-            self.is_confirmed = True
-            self._let_calls_begin()
+        return [interface.AwaitList(True)] if self.is_holding else []
+
+    def start(self) -> None:
+        """Follow the age of the list from now on."""
+        carried = self.host.handover.carried
+        now = self.held_since = self.host.loop.time()
+        if "list_valid_until" in carried:
+            self.freshness.on_start(now, carried["list_valid_until"])
+        else:
+            self.freshness.on_start(now)
+        self.host.watch.on_freshness_changed = self.update
+        self.update()
+
+    def update(self) -> None:
+        """Ask whether calls may begin, now and when that may change by itself."""
+        now = self.host.loop.time()
+        holds = self.freshness.holds_calls(now)
+        if holds != self.is_holding:
+            self._set_holding(holds, now)
+        self.close()
+        change_at = self.freshness.next_change_at(now)
+        if change_at < float("inf"):
+            self.timer = self.host.loop.call_at(change_at, self.update)
 
     def close(self) -> None:
         """Cancel the timer."""
         if self.timer:
             self.timer.cancel()
 
-    def _check_request(self) -> None:
-        """Wait as long again for the answer to a request that was written late.
-
-        A process that is held up may reach this time before its request has had a chance to be answered.
-        """
-        connected_at = max((w.connected_at or 0.0 for w in self.host.watch.connections), default=0.0)
-        since_request_s = self.host.loop.time() - connected_at
-        if since_request_s < CONFIRMATION_TIMEOUT_S:
-            remaining_s = CONFIRMATION_TIMEOUT_S - since_request_s
-            self.timer = self.host.loop.call_later(remaining_s, self._give_up)
+    def _set_holding(self, holds: bool, now: float) -> None:
+        self.is_holding = holds
+        state = self.freshness.state(now).value
+        if holds:
+            self.held_since = now
+            log.warning("endpoints.outdated", state=state)
+        elif now < self.freshness.valid_until:
+            log.info("endpoints.confirmed", seconds=round(now - self.held_since, 3))
         else:
-            self._give_up()
-
-    def _give_up(self) -> None:
-        log.warning("endpoints.unconfirmed", seconds=CONFIRMATION_TIMEOUT_S)
-        self._let_calls_begin()
-
-    def _let_calls_begin(self) -> None:
-        self.close()
-        self.host.post(interface.AwaitList(False))
+            log.warning("endpoints.unconfirmed", seconds=round(now - self.held_since, 3), state=state)
+        self.host.post(interface.AwaitList(holds))
--- a/hopmill/net/list_freshness.py
+++ b/hopmill/net/list_freshness.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from enum import Enum
 
 from hopmill.net.list_budget import (
@@ -37,14 +36,6 @@
     UNREACHABLE = "unreachable"  # no connection could be established
 
 
-@dataclass
-class PendingQuestion:
-    """A question that discovery has accepted and not answered. Times are in seconds."""
-
-    accepted_at: float
-    heard_at: float = -math.inf  # of the last part of the answer
-
-
 class ListFreshness:
     """The age of the list, and what holds calls back. Each method takes the time of the event."""
 
@@ -59,7 +50,8 @@
         self.open_watch: int | None = None  # the question whose answer has opened it
         self.heard_at = -math.inf  # when the open watch last brought something
         self.failure: DiscoveryState | None = None  # of the last question
-        self.pending: dict[int, PendingQuestion] = {}  # by the caller's number of the question
+        self.pending: dict[int, float] = {}  # accepted questions without an answer: when, by their number
+        self.part_received_at = -math.inf  # of an answer that is not complete
 
     # Events
 
@@ -77,17 +69,16 @@
     def on_accepted(self, now: float, question: int) -> None:
         """A connection is established and the question written."""
         self.failure = None
-        self.pending[question] = PendingQuestion(now)
+        self.pending[question] = now
 
     def on_part_received(self, now: float, question: int) -> None:
         """A part of the answer has arrived, and not yet a whole list."""
-        if pending := self.pending.get(question):
-            pending.heard_at = now
+        if question in self.pending:
+            self.part_received_at = now
 
     def on_answered(self, now: float, question: int) -> None:
         """The answer has arrived; the watch is open. What it tells is as old as the question."""
-        pending = self.pending.pop(question, None)
-        asked_at = pending.accepted_at if pending else now
+        asked_at = self.pending.pop(question, now)
         self.lateness_s = min(CHANGE_BOUND_S, now - asked_at)
         self.is_confirmed, self.failure = True, None
         self.open_watch, self.heard_at = question, now
@@ -149,9 +140,7 @@
 
     def _silent_since(self) -> float:
         """Return since when discovery has brought nothing, although an answer is due."""
-        first_accepted_at = min(question.accepted_at for question in self.pending.values())
-        last_heard_at = max(question.heard_at for question in self.pending.values())
-        return max(first_accepted_at, last_heard_at, self.heard_at)
+        return max(min(self.pending.values()), self.part_received_at, self.heard_at)
 
     def state(self, now: float) -> DiscoveryState:
         """Return what is known of discovery."""
--- a/hopmill/net/metrics.py
+++ b/hopmill/net/metrics.py
@@ -14,6 +14,7 @@
 from prometheus_client.registry import Collector
 
 from hopmill import observe
+from hopmill.net.list_freshness import DiscoveryState
 
 if TYPE_CHECKING:
     from hopmill.net.host import Host
@@ -163,8 +164,19 @@
                 "Time since discovery last sent something on the watch, or since the start.",
                 host.loop.time() - host.watch.heard_at,
             ),
+            (
+                "hopmill_endpoint_list_valid_seconds",
+                "Time for which calls may begin by the endpoint list without a further word of discovery.",
+                max(0.0, host.watch.freshness.valid_until - host.loop.time()),
+            ),
+            (
+                "hopmill_calls_held",
+                "1 while no call may begin, since the endpoint list is out of date.",
+                int(host.list_confirmation.is_holding),
+            ),
         ):
             yield GaugeMetricFamily(name, text, value=value)
+        yield from self._discovery()
         yield from self._lanes()
         yield from self._by(
             "hopmill_circuits", "Circuit breakers by state.", "state", observe.breaker_counts(host.courier)
@@ -174,6 +186,24 @@
         if host.member_transport:
             yield from self._fleet(host.member_transport.status())
 
+    def _discovery(self) -> Iterator[Metric]:
+        watch = self.host.watch
+        present = watch.freshness.state(self.host.loop.time())
+        yield from self._by(
+            "hopmill_discovery_state",
+            "1 for the present state of discovery as this courier sees it.",
+            "state",
+            {state.value: int(state is present) for state in DiscoveryState},
+        )
+        yield CounterMetricFamily(
+            "hopmill_discovery_questions", "Requests for the endpoint list.", value=watch.last_number
+        )
+        yield CounterMetricFamily(
+            "hopmill_discovery_given_up",
+            "Accepted requests for the list that were closed while their answer was still due.",
+            value=watch.given_up,
+        )
+
     @staticmethod
     def _fleet(status: dict[str, Any]) -> Iterator[Metric]:
         states = [row["state"] for row in status["members"]]
--- a/hopmill/net/observer.py
+++ b/hopmill/net/observer.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from enum import Enum
 from typing import Protocol
 
 from hopmill import interface
@@ -15,6 +16,14 @@
 log, calls_log = logs.part("messages"), logs.part("calls")
 
 
+class WithheldReason(Enum):
+    """Why a call is not written although its connection is established."""
+
+    NOT_IN_SERVICE = "not in service"  # the endpoint drains, is gone or is excluded
+    RETRY_AFTER = "retry-after"  # the endpoint has announced a wait
+    LIST_OUTDATED = "list outdated"  # an answer of discovery is due
+
+
 class Meters(Protocol):
     """Receiver of counts: hopmill/net/metrics.py."""
 
@@ -92,12 +101,11 @@
         """The request of an attempt is written now: its connection is established."""
         log.debug("attempt.written", message=message_id, attempt=attempt, endpoint=endpoint)
 
-    def call_withheld(self, endpoint: str, is_usable: bool) -> None:
+    def call_withheld(self, endpoint: str, reason: WithheldReason) -> None:
         """A call is not written, although its connection is established."""
-        reason = "retry-after" if is_usable else "not in service"
-        calls_log.info("call.withheld", endpoint=endpoint, why=reason)
+        calls_log.info("call.withheld", endpoint=endpoint, why=reason.value)
         if self.meters:
-            self.meters.count_withheld(reason)
+            self.meters.count_withheld(reason.value)
 
     def attempt_ended(
         self,
--- a/tests/test_carried_state.py
+++ b/tests/test_carried_state.py
@@ -412,7 +412,18 @@
         ),
     },
     "Calls": {**dict.fromkeys(["loop", "hooks", "pool"], OWN), "in_flight": HANDED_OVER},
-    "ListConfirmation": {"host": PARTS, "is_confirmed": HANDED_OVER, "timer": OWN},
+    "ListConfirmation": {
+        **dict.fromkeys(["host", "freshness"], PARTS),
+        **dict.fromkeys(["is_holding", "held_since"], "derived from the age of the list"),
+        "timer": OWN,
+    },
+    "ListFreshness": {
+        **dict.fromkeys(["patience", "started_at"], OWN),
+        **dict.fromkeys(["is_confirmed", "valid_until"], HANDED_OVER),
+        "reload_bound_at": "within the validity that is handed over",
+        **dict.fromkeys(["lateness_s", "open_watch", "heard_at", "failure"], ASKED_ANEW),
+        **dict.fromkeys(["pending", "part_received_at"], ASKED_ANEW),
+    },
     "DiscoveryWatch": {
         **dict.fromkeys(["loop", "timer", "is_stopped", "waits", "on_change"], OWN),
         **dict.fromkeys(["on_freshness_changed", "given_up"], OWN),
@@ -449,6 +460,7 @@
         "last_endpoint_number",
         "known",
         "confirmed",
+        "list_valid_until",
         "waits",
         "removed",
         "learned",
@@ -472,6 +484,7 @@
     await fleet.inside()
     host = fleet.host
     parts = [host.attempts, host.intake, host.calls, host.list_confirmation, host.watch, host.notices]
+    parts += [host.watch.freshness]
     found = {type(part).__name__: set(vars(part)) for part in (host, *parts, host.pool, host.registry)}
     assert found == {name: set(attributes) for name, attributes in HOST_STATE.items()}
     assert set(host.handover._build_payload().values) == PAYLOAD
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -72,7 +72,7 @@
             failed = max(accepted_at)
             del accepted_at[failed]
             freshness.on_failed(now, failed, DiscoveryState.REFUSED)
-            if not accepted_at and watched:
+            if not accepted_at and freshness.is_confirmed:
                 binds_at = max(binds_at, now + budget.CHANGE_BOUND_S)
         elif step == "lose" and watched:
             freshness.on_closed(watched)
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -1,16 +1,19 @@
 """Discovery that is slow, crowded, refusing or silent: changes bind in time, and what is owed is tried."""
 
 import asyncio
+import copy
+import json
 import random
 import socket
 import time
 
 import pytest
-from loopback import Discovery, bounded, until
+from loopback import Discovery, Fleet, bounded, courier, settings, until
+from test_upgrade import hold_socket
 
 from hopmill.net.backoff import retry_waits
 from hopmill.net.discovery import DiscoveryWatch
-from hopmill.net.list_budget import CHANGE_BOUND_S
+from hopmill.net.list_budget import CHANGE_BOUND_S, RELOAD_BOUND_S, START_HOLD_S, UPGRADE_BOUND_S
 
 DRAIN_GRACE_S, SLACK_S = 0.5, 0.05
 LATENESSES_S = (3.0, 4.0, 5.5)
@@ -191,3 +194,104 @@
         await watched.close()
 
     asyncio.run(scenario())
+
+
+# The whole courier
+
+
+async def started(folder, *, is_server_shared=True, drains=True):
+    """A courier's surroundings, whose known list is older than a drain that discovery has."""
+    folder.mkdir()
+    fleet = Fleet(folder, settings(contract__drainGraceUs=500_000))
+    fleet.raw["membershipMode"] = "on_request" if is_server_shared else "pushed"
+    await fleet.__aenter__()
+    fleet.old = await fleet.endpoint("old", dest=5)
+    fleet.known = copy.deepcopy(fleet.discovery.full_list())
+    if drains:
+        fleet.new = await fleet.endpoint("new", dest=5)
+        fleet.discovery.change("old", state="terminating")
+    return fleet
+
+
+def first_call_s(endpoint, since):
+    """When the first call came, in seconds since a time of the loop."""
+    return endpoint.calls.get_nowait()[3] - since
+
+
+def test_a_new_process_calls_nothing_by_an_old_list_while_a_slow_discovery_answers(tmp_path):
+    # Guards against calls by the cached list once a second has passed without an answer (review/9).
+    async def scenario(late_s, is_in_pieces):
+        fleet = await started(tmp_path / f"{late_s}{is_in_pieces}")
+        fleet.discovery.delay_s = late_s
+        if is_in_pieces:
+            fleet.discovery.write_line = lambda writer, text: [
+                Discovery.write(
+                    fleet.discovery, writer, b"%x\r\n%s\r\n" % (len(text[n : n + 60]), text[n : n + 60])
+                )
+                or setattr(fleet.discovery, "delay_s", fleet.discovery.delay_s + 1.0)
+                for n in range(0, len(text + b"\n"), 60)
+            ]
+        client = await fleet.inside()
+        assert await client.put("m", dest=5) == "+OK"
+        await (fleet.new.call() if not is_in_pieces else asyncio.sleep(4))
+        assert fleet.old.calls.empty()
+        await fleet.__aexit__()
+
+    together(*(scenario(late_s, False) for late_s in (2.0, 4.0, 5.5)), scenario(0.5, True))
+
+
+def test_what_is_owed_is_tried_while_discovery_refuses_or_is_silent(tmp_path):
+    async def scenario(how, is_server_shared, from_s, until_s):
+        fleet = await started(tmp_path / f"{how}{is_server_shared}", is_server_shared=is_server_shared)
+        fleet.discovery.watch_status = 503 if how == "refuses" else 200
+        fleet.discovery.delay_s = 60.0 if how == "silent" else 0.0
+        client = await fleet.inside()
+        began = asyncio.get_running_loop().time()
+        assert await client.put("m", kind="unsafe", dest=5, life=8500) == "+OK"
+        await until(lambda: not fleet.old.calls.empty())
+        assert from_s - 0.1 < first_call_s(fleet.old, began) < until_s
+        await fleet.__aexit__()
+
+    together(
+        scenario("refuses", True, START_HOLD_S, 2 * START_HOLD_S),
+        scenario("silent", True, CHANGE_BOUND_S, CHANGE_BOUND_S + START_HOLD_S),
+        scenario("silent", False, START_HOLD_S, 2 * START_HOLD_S),
+    )
+
+
+async def put_for(client, seconds):
+    """Submit a message every 50 ms."""
+    for number in range(round(seconds / 0.05)):
+        await client.put(f"later{number}", dest=5)
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("how", ["upgrade", "reload"])
+def test_a_drain_binds_in_time_after_an_upgrade_and_a_reload_while_discovery_is_slow(how, tmp_path):
+    @courier
+    async def scenario(fleet):
+        fleet.raw["membershipMode"] = "on_request"
+        hold_socket(fleet)
+        old = await fleet.endpoint("old", dest=5)
+        new = await fleet.endpoint("new", dest=5)
+        client = await fleet.outside()
+        await put_for(client, 0.5)
+        fleet.discovery.delay_s = 5.0
+        fleet.discovery.change("old", state="terminating")
+        if how == "upgrade":
+            await fleet.upgrade()
+            bound_s = UPGRADE_BOUND_S
+        else:
+            address = f"127.0.0.1:{fleet.discovery.port}"
+            path = fleet.folder / "config.json"
+            path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": address}))
+            fleet.discovery.drop()
+            fleet.process.send_signal(1)
+            bound_s = RELOAD_BOUND_S
+        began = asyncio.get_running_loop().time()
+        await put_for(client, 5.5)
+        calls = [old.calls.get_nowait()[3] - began for _ in range(old.calls.qsize())]
+        assert max(calls) < bound_s + DRAIN_GRACE_S + SLACK_S
+        await until(lambda: not new.calls.empty() and new.calls.qsize() > 20)
+
+    scenario(tmp_path)
