Play a shared server of discovery that is slow, refuses, or is slow at a start, in the soak

Couriers with an odd number ask a shared server now (list_on_request); a change there binds when it is written or 6 s after the server had it and could be reached. Each such courier gets one fault of its server: up to 5.5 s late, refusing for 3 to 5 s by status, reset or cut answers, or 1.5 to 4.5 s late as a killed courier starts by a list that is old by a drain. The load lasts 16 s in place of 10, so that such a change has bound before its end.

--- a/hopmill/cli/app.py
+++ b/hopmill/cli/app.py
@@ -195,12 +195,12 @@
     raise typer.Exit(run(scenario, couriers, seed, history, at_once))
 
 
-@app.command(epilog="Example: hopmill soak --seed 1-5 --seconds 10")
+@app.command(epilog="Example: hopmill soak --seed 1-5 --seconds 16")
 def soak(
     seed: Annotated[str, typer.Option(help="Seeds of faults and load, such as 1-20 or 3,5,9.")] = "1",
     seconds: Annotated[
         float, typer.Option(min=2, max=3600, help="Seconds during which messages are sent.")
-    ] = 10.0,
+    ] = 16.0,
     couriers: Annotated[int, typer.Option(min=1, max=60, help="Courier processes.")] = 4,
     folder: Annotated[
         Path | None, typer.Option(help="Folder to keep schedules, logs and results in.")
--- a/hopmill/soak/agent.py
+++ b/hopmill/soak/agent.py
@@ -1,4 +1,4 @@
-"""The agent of discovery on a courier's machine, with its faults."""
+"""What a courier has its endpoint list from, with its faults: an agent on its machine, or a shared server."""
 
 from __future__ import annotations
 
@@ -6,23 +6,34 @@
 import copy
 import time
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 from hopmill.soak.surplus import SurplusSender
 from hopmill.standin.discovery import Discovery
+from hopmill.standin.server import answer
 
 MUTE_TOLD_S = 6.0  # a silent watch counts as told of what it misses this long after it fell silent
 POLL_S = 0.01  # interval at which a request waits for the end of a fault
 CUT_ANSWER = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n{"rev":9,"all"'
 
 
+class Refusal(Enum):
+    """How discovery refuses a watch."""
+
+    STATUS = "status"
+    RESET = "reset"
+    CUT = "cut"  # in the middle of the answer's head
+
+
 class Agent(Discovery):
     """Tells one courier what discovery has sent it.
 
     on_told: called with an endpoint that drains or is gone and the time from which that counts as told.
     on_told_later: called if the courier could not be told before this later time after all.
     on_listed: called when something of the list is written to the courier. surplus: follows some answers to
-    notices.
+    notices. on_had: given for a shared server, on which a change binds some time after it had it, while an
+    agent's changes bind at once; called with an endpoint that drains or is gone and the time.
     """
 
     def __init__(
@@ -32,10 +43,14 @@
         on_told_later: Callable[[str, float], None],
         on_listed: Callable[[], None],
         surplus: SurplusSender,
+        on_had: Callable[[str, float], None] | None = None,
     ) -> None:
         super().__init__(on_notice)
         self.called, self.answered = surplus.called, surplus.answered
         self.on_told, self.on_told_later, self.on_listed = on_told, on_told_later, on_listed
+        self.on_had = on_had
+        self.withdrawn: set[str] = set()  # uids that drain or are gone
+        self.refusal: Refusal | None = None  # how watches are refused now
         self.is_down = False
         self.missed: list[dict[str, Any]] = []  # changes while it is down
         self.cuts = 0  # answers to come that end in the middle of the list
@@ -52,11 +67,18 @@
         self.rev += 1
         self.targets[target["uid"]] = target
         if target["state"] != "in_service":
-            self._record_told(target["uid"])
+            self._record_withdrawn(target["uid"])
         self.push({"rev": self.rev, "all": False, "targets": [target]})
         if target["state"] == "terminated":
             del self.targets[target["uid"]]
 
+    def _record_withdrawn(self, uid: str) -> None:
+        self.withdrawn.add(uid)
+        if self.on_had:
+            self.on_had(uid, time.monotonic())
+        else:
+            self._record_told(uid)
+
     def _record_told(self, uid: str) -> None:
         now_s = time.monotonic()
         open_watches = [writer for writer in self.watchers if not writer.is_closing()]
@@ -80,15 +102,26 @@
             return
         super().write_line(writer, text)
         if text:
-            self.on_listed()
-            self.unseen.clear()
-            self.last_written = copy.deepcopy(self.full_list())
+            listed, withdrawn = copy.deepcopy(self.full_list()), set(self.withdrawn)
+            self.when_due(writer, lambda: self._record_written(listed, withdrawn))
+
+    def _record_written(self, listed: dict[str, Any], withdrawn: set[str]) -> None:
+        """What the courier has been told by now is in force, however late it was written."""
+        self.on_listed()
+        self.unseen.clear()
+        self.last_written = listed
+        if self.on_had:
+            for uid in withdrawn:
+                self.on_told(uid, time.monotonic())
 
     async def _watch(self, path: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while self.is_down:
             await asyncio.sleep(POLL_S)
         if reader.at_eof() or writer.is_closing():  # its courier has ended meanwhile
             return
+        if self.refusal:
+            self._refuse(writer, self.refusal)
+            return
         if self.cuts > 0:
             self.cuts -= 1
             writer.write(CUT_ANSWER)
@@ -98,8 +131,23 @@
         finally:
             self.mute_writers.pop(writer, None)
 
+    def _refuse(self, writer: asyncio.StreamWriter, refusal: Refusal) -> None:
+        if refusal is Refusal.STATUS:
+            writer.write(answer(503))
+        elif refusal is Refusal.CUT:
+            writer.write(CUT_ANSWER)
+        else:
+            writer.transport.abort()
+
     # Faults
 
+    async def be_refusing(self, refusal: Refusal, seconds: float) -> None:
+        """End all connections and refuse new watches."""
+        self.refusal = refusal
+        self.drop()
+        await asyncio.sleep(seconds)
+        self.refusal = None
+
     async def be_down(self, seconds: float) -> None:
         """Be silent and learn nothing, then learn all that was missed."""
         if self.is_down:
--- a/hopmill/soak/courier.py
+++ b/hopmill/soak/courier.py
@@ -13,6 +13,7 @@
 
 from hopmill.soak.agent import Agent
 from hopmill.soak.rules import MEMORY_LIMIT_MB, ZONE_BOUND_CLASS
+from hopmill.soak.schedule import asks_shared_server
 from hopmill.soak.process import CONTROL_VARIABLE, ProcessFaults
 from hopmill.standin.courier import CourierProcess
 from hopmill.standin.load import LoadClass
@@ -30,7 +31,7 @@
     """What to run. seconds: of load; couriers: processes beside one another."""
 
     seed: int
-    seconds: float = 15.0
+    seconds: float = 16.0
     couriers: int = 4
     folder: Path | None = None  # where schedule, logs and result are kept; None: only after a violation
 
@@ -41,6 +42,8 @@
     def __init__(self, number: int, folder: Path, options: SoakOptions, agent: Agent) -> None:
         settings = Options(couriers=options.couriers, seed=options.seed)
         self.settings_toml = courier_toml(agent.port, settings, number, SOAK_CLASSES, MEMORY_LIMIT_MB)
+        if asks_shared_server(number):
+            self.settings_toml = "list_on_request = true\n" + self.settings_toml
         super().__init__(f"courier-{number}", folder, self.settings_toml)
         self.agent = agent
         self.process_faults = ProcessFaults(folder / f"{self.name}.faults")
--- a/hopmill/soak/records.py
+++ b/hopmill/soak/records.py
@@ -31,6 +31,8 @@
     unreachable_s: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     # By courier and endpoint: when it counts as told that the endpoint drains or is gone.
     told_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    # By courier and endpoint: when a shared server of discovery had it.
+    had_s: dict[tuple[str, str], float] = field(default_factory=dict)
 
     zones: dict[str, str] = field(default_factory=dict)  # by endpoint: the zone in which it was first listed
     moved: set[str] = field(default_factory=set)  # endpoints that are listed in another zone since
@@ -73,6 +75,10 @@
         key = courier, endpoint
         self.told_s[key] = min(at_s, self.told_s.get(key, at_s))
 
+    def record_had(self, courier: str, endpoint: str, at_s: float) -> None:
+        """Record that a shared server has a drain from then on; it binds later."""
+        self.had_s.setdefault((courier, endpoint), at_s)
+
     def record_told_later(self, courier: str, endpoint: str, at_s: float) -> None:
         """Record that the courier could not be told before that time."""
         key = courier, endpoint
--- a/hopmill/soak/rules.py
+++ b/hopmill/soak/rules.py
@@ -9,6 +9,7 @@
 from hopmill.standin.client import ANSWER_TIMEOUT_S
 
 DRAIN_GRACE_S = 0.5
+CHANGE_BOUND_S = 6.0  # a change binds so long after discovery had it and could be reached
 NOTICED_S = 1.0  # of an outage
 ZONE_BOUND_CLASS = "receipt"  # of the load: its keys are known in one zone only
 MEMORY_LIMIT_MB = 64  # of a courier, in its configuration
@@ -103,19 +104,37 @@
     excuses_silence: a process whose agent can not be reached before it has written anything to it counts as
     told once it can.
     """
-    told_s = ledger.told_s.get((call.courier, call.endpoint))
+    told_s = _told_s(ledger, call)
     if told_s is None:
         return -1.0
+    # What a shared server could not tell binds some time after it can be reached; what an agent has, at once.
+    is_shared = (call.courier, call.endpoint) in ledger.had_s
+    binds_after_s = CHANGE_BOUND_S if is_shared else 0.0
     starts_s = ledger.starts_s.get(call.courier, [])
     number = bisect_right(starts_s, call.at_s)
     started_s = starts_s[number - 1] if number else 0.0
     told_s = max(told_s, started_s)
     for from_s, until_s in ledger.unreachable_s.get(call.courier, []) if excuses_silence else []:
+        if is_shared and from_s > started_s + STARTUP_S:  # it could ask before
+            continue
         if told_s < until_s and not _is_listed_between(ledger, call.courier, started_s, from_s):
-            told_s = until_s
+            told_s = until_s + binds_after_s
     return call.at_s - told_s
 
 
+def _told_s(ledger: SoakLedger, call: SeenCall) -> float | None:
+    """Return when the courier counts as told that the endpoint drains; None if it does not."""
+    key = call.courier, call.endpoint
+    told_s, reached_s = ledger.told_s.get(key), ledger.had_s.get(key)
+    if reached_s is None:
+        return told_s
+    for from_s, until_s in sorted(ledger.unreachable_s.get(call.courier, [])):
+        if from_s < reached_s + CHANGE_BOUND_S and until_s > reached_s:
+            reached_s = until_s
+    bound_s = reached_s + CHANGE_BOUND_S
+    return bound_s if told_s is None else min(told_s, bound_s)
+
+
 def _is_listed_between(ledger: SoakLedger, courier: str, from_s: float, until_s: float) -> bool:
     """Return whether the agent has written a list or a change of it to the courier in that span."""
     listed_s = ledger.listed_s.get(courier, [])
--- a/hopmill/soak/run.py
+++ b/hopmill/soak/run.py
@@ -18,9 +18,10 @@
 from hopmill.soak.agent import Agent
 from hopmill.soak.client_faults import ClientFaults
 from hopmill.soak.courier import RATE_PER_S, SOAK_CLASSES, SoakCourier, SoakOptions
+from hopmill.soak.discovery_faults import DiscoveryFaults
 from hopmill.soak.endpoints import Endpoints
 from hopmill.soak.records import SoakLedger
-from hopmill.soak.schedule import AGENT_KINDS, CALL_KINDS, CLIENT_KINDS, Fault, Kind
+from hopmill.soak.schedule import AGENT_KINDS, CALL_KINDS, CLIENT_KINDS, DISCOVERY_KINDS, Fault, Kind
 from hopmill.soak.surplus import SurplusSender
 from hopmill.standin.load import LoadGenerator
 from hopmill.standin.partner import PartnerSettings
@@ -47,8 +48,10 @@
         )
         self.faults += schedule.draw_client_faults(options.seed, options.seconds, options.couriers)
         self.faults += schedule.draw_zone_moves(options.seed, options.seconds)
+        self.faults += schedule.draw_discovery_faults(options.seed, options.couriers)
         self.faults.sort(key=lambda fault: fault.at_s)
         self.client_faults = ClientFaults(self.ledger)
+        self.discovery_faults = DiscoveryFaults(self.ledger, self.endpoints, self._start_process)
         self.injected: Counter[str] = Counter()
 
     async def run(self) -> dict[str, Any]:
@@ -69,12 +72,17 @@
 
     async def _add_courier(self, number: int) -> None:
         name = f"courier-{number}"
+
+        def on_had(uid: str, at_s: float) -> None:
+            self.ledger.record_had(name, uid, at_s)
+
         agent = Agent(
             self.ledger.record_notice,
             lambda uid, at_s: self.ledger.record_told(name, uid, at_s),
             lambda uid, at_s: self.ledger.record_told_later(name, uid, at_s),
             lambda: self.ledger.record_listed(name),
             SurplusSender(random.Random(f"agent {number} {self.options.seed}")),
+            on_had if schedule.asks_shared_server(number) else None,
         )
         await agent.start()
         for target in self.endpoints.targets.values():
@@ -126,6 +134,8 @@
             await self.endpoints.be_out(fault.choice, fault.duration_s)
         elif fault.kind is Kind.ZONE_MOVE:
             await self.endpoints.move(fault.choice, fault.duration_s)
+        elif fault.kind in DISCOVERY_KINDS:
+            await self.discovery_faults.inject(courier, fault)
         elif fault.kind in AGENT_KINDS:
             await self._inject_into_agent(courier, fault)
         elif fault.kind in CALL_KINDS:
--- a/hopmill/soak/schedule.py
+++ b/hopmill/soak/schedule.py
@@ -6,11 +6,13 @@
 from dataclasses import asdict, dataclass
 from enum import Enum
 
+from hopmill.soak.agent import Refusal
+
 FAULT_FREE_S = 0.5  # before the first fault, and between the last one and the end of the load
 
 
 class Kind(Enum):
-    """What happens. The first nine concern a process, the next four its agent, the last three its clients."""
+    """What happens: to a process, its agent, endpoints, its clients, or the shared server of discovery."""
 
     KILL = "kill"  # SIGKILL, and an endpoint begins to drain; after `duration_s` it starts again
     RESTART = "restart"  # SIGTERM; after its end it starts again
@@ -31,11 +33,16 @@
     CLIENTS_HOLD = "clients_hold"  # many clients send large requests, or stop in the middle of one
     CLIENTS_FLOOD = "clients_flood"  # requests with thousands of fields, or one connection at full speed
     CLIENTS_LEAVE = "clients_leave"  # they send requests to a process that is stopped, and leave
+    DISCOVERY_SLOW = "discovery_slow"  # it tells all it has `late_s` late, and an endpoint begins to drain
+    DISCOVERY_REFUSING = "discovery_refusing"  # it refuses watches for `duration_s`, by `refusal`; the same
+    DISCOVERY_SLOW_START = "discovery_slow_start"  # SIGKILL, a drain, and a start while it is `late_s` late
 
 
 CALL_KINDS = (Kind.SHORT_IO, Kind.CLOCK_STEP, Kind.CONNECT_ERROR, Kind.ACCEPT_ERROR)
 AGENT_KINDS = (Kind.AGENT_DOWN, Kind.AGENT_AWAY, Kind.WATCH_CUT, Kind.WATCH_MUTE)
 CLIENT_KINDS = (Kind.CLIENTS_HOLD, Kind.CLIENTS_FLOOD, Kind.CLIENTS_LEAVE)
+DISCOVERY_KINDS = (Kind.DISCOVERY_SLOW, Kind.DISCOVERY_REFUSING, Kind.DISCOVERY_SLOW_START)
+DISCOVERY_FAULT_AT_S = (0.5, 1.5)  # early, since a change may bind as late as 6 s after discovery is back
 ZONE_MOVES_PER_S = 0.15
 CLIENT_FAULTS_PER_S = 0.1  # for each courier
 WEIGHTS = {
@@ -70,7 +77,11 @@
     Kind.CLIENTS_HOLD: (0.5, 1.5),
     Kind.CLIENTS_FLOOD: (0.5, 1.5),
     Kind.CLIENTS_LEAVE: (0.05, 0.15),
+    Kind.DISCOVERY_SLOW: (10.0, 10.0),
+    Kind.DISCOVERY_REFUSING: (3.0, 5.0),
+    Kind.DISCOVERY_SLOW_START: (6.3, 6.3),  # a drain that discovery has for longer binds at the start
 }
+LATENESS_S = {Kind.DISCOVERY_SLOW: (2.5, 5.5), Kind.DISCOVERY_SLOW_START: (1.5, 4.5)}
 MAX_START_PAUSE_S = 0.6  # how long a process is stopped during its start, at most
 MAX_SPARE_BYTES = 200  # about two records
 CLOCK_STEPS_S = (-3600.0, -30.0, -1.0, 1.0, 30.0, 3600.0)
@@ -95,6 +106,8 @@
     spare_bytes: int = 0  # DISK_FULL, SHORT_IO
     step_s: float = 0.0  # CLOCK_STEP
     error: str = ""  # CONNECT_ERROR, ACCEPT_ERROR: name of the errno
+    late_s: float = 0.0  # DISCOVERY_SLOW, DISCOVERY_SLOW_START
+    refusal: str = ""  # DISCOVERY_REFUSING
 
     def as_json(self) -> dict[str, object]:
         """Return the fields that are set, for the schedule of a run that failed."""
@@ -139,6 +152,31 @@
     return faults
 
 
+def asks_shared_server(courier: int) -> bool:
+    """Return whether this courier of a soak asks a shared server for the list; the others have an agent."""
+    return courier % 2 == 1
+
+
+def draw_discovery_faults(seed: int, couriers: int) -> list[Fault]:
+    """Return a fault of the shared server for each courier that asks it; drawn apart from the others."""
+    rng = random.Random(f"soak discovery {seed}")
+    faults = []
+    for courier in filter(asks_shared_server, range(couriers)):
+        kind = rng.choice(DISCOVERY_KINDS)
+        faults.append(
+            Fault(
+                round(rng.uniform(*DISCOVERY_FAULT_AT_S), 3),
+                kind,
+                round(rng.uniform(*DURATIONS_S[kind]), 3),
+                courier,
+                choice=round(rng.random(), 3),
+                late_s=round(rng.uniform(*LATENESS_S[kind]), 3) if kind in LATENESS_S else 0.0,
+                refusal=rng.choice(list(Refusal)).value if kind is Kind.DISCOVERY_REFUSING else "",
+            )
+        )
+    return faults
+
+
 def draw_zone_moves(seed: int, seconds: float) -> list[Fault]:
     """Return the moves of endpoints to another zone, in order of time; drawn apart from the others."""
     rng = random.Random(f"soak zones {seed}")
--- a/hopmill/standin/discovery.py
+++ b/hopmill/standin/discovery.py
@@ -72,13 +72,17 @@
 
     def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Write to a watch, after the delay and not before what was to be written earlier."""
+        self.when_due(writer, lambda: writer.write(data))
+
+    def when_due(self, writer: asyncio.StreamWriter, action: Callable[[], None]) -> None:
+        """Do something once all that is to be written to a watch before now and the delay is written."""
         loop = asyncio.get_running_loop()
         due_at = max(loop.time() + self.delay_s, self.due_at.get(writer, 0.0))
         if due_at <= loop.time():
-            writer.write(data)
+            action()
             return
         self.due_at[writer] = due_at
-        loop.call_at(due_at, lambda: None if writer.is_closing() else writer.write(data))
+        loop.call_at(due_at, lambda: None if writer.is_closing() else action())
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve a watch, or receive notices: one JSON object a line in the body of a request."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
         schedule.draw(seed, 90.0, 4, 3.0)
         + schedule.draw_client_faults(seed, 90.0, 4)
         + schedule.draw_zone_moves(seed, 90.0)
+        + schedule.draw_discovery_faults(seed, 24)
         for seed in (1, 1, 2)
     ]
     assert drawn[0] == drawn[1] != drawn[2]
@@ -54,6 +55,31 @@
     assert rules.excused_calls(ledger) == (bool(unreachable_s) and not is_late)
 
 
+@pytest.mark.parametrize(
+    ("written_s", "started_s", "unreachable_s", "binds_s"),
+    [
+        (None, 1.0, [], 8.0),
+        (4.0, 1.0, [], 4.0),
+        (None, 9.0, [], 9.0),
+        (None, 1.0, [(3.0, 5.0)], 11.0),
+        (None, 1.0, [(9.0, 12.0)], 8.0),
+        (None, 9.0, [(9.5, 12.0)], 18.0),
+    ],
+)
+def test_a_drain_that_a_shared_server_had_binds_in_time_however_late_it_tells(
+    written_s, started_s, unreachable_s, binds_s
+):
+    ledger = SoakLedger(starts_s={"c": [0.5, started_s]}, listed_s={"c": [0.7]})
+    ledger.unreachable_s["c"] = unreachable_s
+    ledger.record_had("c", "e", 2.0)
+    if written_s:
+        ledger.record_told("c", "e", written_s)
+    grace_s = rules.DRAIN_GRACE_S + rules.SLACK_S
+    for at_s in (binds_s + grace_s - 0.01, binds_s + grace_s + 0.01):
+        ledger.calls_seen = [SeenCall("c", "e", at_s, ("m",))]
+        assert bool(rules.late_calls(ledger)) is (at_s > binds_s + grace_s)
+
+
 def test_a_reserved_port_is_refused_and_given_to_nobody_but_its_server():
     with reserve_port() as reservation:
         port = reservation.getsockname()[1]
