Count answers that a shared server cuts as a server that can't be reached, in the soak

Trace: the log has three refused questions, calls by the cached list 1.0 s after the start, then a slow question that held them back.

--- a/hopmill/soak/run.py
+++ b/hopmill/soak/run.py
@@ -32,6 +32,7 @@
 MAX_EXTRA_S = 60.0  # on top of the load's duration, before the soak is given up
 KILL_DRAIN_S = 3.0  # how long an endpoint drains that begins to while a courier is down
 POLL_S = 0.05
+MAX_CUT_S = 15.0  # until the answers that are to be cut have been asked for
 
 
 class Soak:
@@ -153,7 +154,7 @@
     async def _inject_into_agent(self, courier: SoakCourier, fault: Fault) -> None:
         agent = courier.agent
         if fault.kind is Kind.WATCH_CUT:
-            agent.cut(fault.cuts)
+            await self._cut_watch(courier, fault.cuts)
         elif fault.kind is Kind.WATCH_MUTE:
             agent.mute()
         else:
@@ -161,6 +162,16 @@
             await (agent.be_down if fault.kind is Kind.AGENT_DOWN else agent.be_away)(fault.duration_s)
             self.ledger.record_unreachable(courier.name, from_s, time.monotonic())
 
+    async def _cut_watch(self, courier: SoakCourier, cuts: int) -> None:
+        """Cut answers; a shared server that does can be reached once it cuts no more."""
+        from_s = time.monotonic()
+        courier.agent.cut(cuts)
+        if courier.agent.on_had is None:
+            return
+        while courier.agent.cuts and time.monotonic() < from_s + MAX_CUT_S:
+            await asyncio.sleep(POLL_S)
+        self.ledger.record_unreachable(courier.name, from_s, time.monotonic())
+
     async def _inject_into_calls(self, courier: SoakCourier, fault: Fault) -> None:
         """Let system calls fail, beside any fault of the process."""
         faults = courier.process_faults
