--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -18,20 +18,18 @@
 from hopmill.net.accept import listening_socket
 from hopmill.net.attempts import Attempts
 from hopmill.net.backoff import retry_waits
-from hopmill.net.calls import Calls, CallHooks, CallItem, Outcome
+from hopmill.net.calls import Calls, CallHooks
 from hopmill.net.client_server import BACKLOG, ClientServer
-from hopmill.net.clients import Reply
 from hopmill.net.config import Address, Config, Options
 from hopmill.net.discovery import DiscoveryWatch
 from hopmill.net.handover import Handover
-from hopmill.net.intake import Intake, refusal
+from hopmill.net.intake import Intake
 from hopmill.net.list_confirmation import ListConfirmation
 from hopmill.net.list_freshness import ListFreshness
 from hopmill.net.notices import NoticeSender
 from hopmill.net.observer import Observer
 from hopmill.net.operator_server import OperatorServer
 from hopmill.net.pool import Pool
-from hopmill.net.pooled_connection import CloseReason
 from hopmill.net.resp import MAX_REQUEST_BYTES
 from hopmill.net.restart import Restart
 from hopmill.net.endpoint_registry import EndpointRegistry
@@ -39,10 +37,10 @@
 from hopmill.net.journal import Journal
 from hopmill.net.journal_recovery import JournalRecovery
 from hopmill.net.journal_records import JournaledMessage
+from hopmill.net.turn_actions import TurnActions
 from hopmill.net.upgrade import FolderOwnership, HandoverPayload
 from hopmill.policy.courier import Courier
 
-TIMER_MARGIN_S = 5e-5  # added to the decision core's timers
 END_OVERDUE_S = 0.1  # a message that the decision core has not ended this long after its expiry is ended here
 # Shares of the limit on file descriptors; the rest is for calls, discovery, the journal and Python itself.
 # Clients may hold a third of the descriptors, and beyond that none can connect. From 0.3 on a connection is
@@ -91,6 +89,7 @@
         self.next_attempts: dict[int, int] = {}  # message number: number of its next attempt
         self.turn_scheduled = False
         self.last_turn_us = -self.settings.tick_us
+        self.turn_actions = TurnActions(self)
         self.restart = Restart(self)
         self.attempts = Attempts(self)
         hooks = CallHooks(
@@ -293,7 +292,7 @@
             log.exception("turn.failed", count=len(events))
             actions = [interface.Fail(number) for number in arrived]
         try:
-            self._execute(list(actions), arrived)
+            self.turn_actions.execute(list(actions), arrived)
         except Exception:
             log.exception("actions.failed", count=len(actions))
             for _, replies in arrived.values():
@@ -302,61 +301,6 @@
         if self.metrics:
             self.metrics.observe_turn((self.clock() - now) / 1e6, late_us / 1e6)
 
-    def _execute(
-        self, actions: list[interface.Action], arrived: dict[int, tuple[JournaledMessage, list[Reply]]]
-    ) -> None:
-        """Carry out actions in order; `arrived` are the new messages of this turn, by number."""
-        self._answer_refused(actions, arrived)
-        for message, replies in arrived.values():
-            self.intake.accept(message, replies)
-        batches: dict[int, list[CallItem]] = {}
-        for action in actions:
-            self._execute_one(action, batches)
-        for endpoint, items in batches.items():
-            max_items = self.registry.max_batch(endpoint)
-            for start in range(0, len(items), max_items):
-                self._call(endpoint, items[start : start + max_items])
-
-    def _answer_refused(
-        self, actions: list[interface.Action], arrived: dict[int, tuple[JournaledMessage, list[Reply]]]
-    ) -> None:
-        """Answer the new messages that the decision core refuses, and remove them from `arrived`."""
-        for action in actions:
-            if isinstance(action, (interface.Refuse, interface.Fail)) and action.message in arrived:
-                message, replies = arrived.pop(action.message)
-                self.observer.refused(
-                    message, action.retry_after_us if isinstance(action, interface.Refuse) else 0
-                )
-                for reply in replies:
-                    reply.send(
-                        refusal(action.retry_after_us)
-                        if isinstance(action, interface.Refuse)
-                        else b"-ERR failed\r\n"
-                    )
-
-    def _execute_one(self, action: interface.Action, batches: dict[int, list[CallItem]]) -> None:
-        """Carry out an action; items for endpoints that take several per call are gathered in `batches`."""
-        if isinstance(action, interface.Send):
-            self._send(action, batches)
-        elif isinstance(action, (interface.Refuse, interface.Fail)):
-            self._end_by_action(action)
-        elif isinstance(action, interface.SetTimer):
-            self.loop.call_later(
-                action.delay_us / 1e6 + TIMER_MARGIN_S, self.post, interface.TimerDue(action.token)
-            )
-        elif isinstance(action, interface.CloseIdle):
-            self.pool.close_idle(action.endpoint, CloseReason.REQUESTED_BY_POLICY)
-        elif isinstance(action, interface.Keep):
-            self.pool.set_max_idle(action.endpoint, action.most)
-        elif isinstance(action, interface.OpenIdle):
-            self.pool.open_spare(action.endpoint)
-        elif isinstance(action, interface.Cancel):
-            self.calls.cancel(action.message, action.attempt)
-        elif isinstance(action, interface.Probe):
-            self.calls.probe(action.endpoint)
-        elif isinstance(action, interface.Log):
-            policy_log.info("policy", text=action.text)
-
     # Ends of messages
 
     def start_expiry_timer(self, message: JournaledMessage) -> None:
@@ -371,15 +315,6 @@
             self.post(interface.MessageGone(number))
             self.end_message(message, "undeliverable", 0)
 
-    def _end_by_action(self, action: interface.Refuse | interface.Fail) -> None:
-        message = self.journal.messages.get(action.message)
-        if message is None or message.status:
-            return
-        if isinstance(action, interface.Refuse):
-            self.end_message(message, "deferred", -(-action.retry_after_us // 1000))
-        else:
-            self.end_message(message, "undeliverable", 0)
-
     def end_message(self, message: JournaledMessage, status: str, retry_after_ms: int) -> None:
         """Record the final status of a message, then send the notice."""
         self.journal.record_end(message.number, status, retry_after_ms)
@@ -400,42 +335,6 @@
         self.journal.record_notices_accepted(numbers)
         self.restart.maybe_exit()
 
-    # Calls
-
-    def _send(self, action: interface.Send, batches: dict[int, list[CallItem]]) -> None:
-        message = self.journal.messages.get(action.message)
-        attempt = self.next_attempts.get(action.message, message.attempts if message else 0)
-        self.next_attempts[action.message] = attempt + 1
-        if message is None or message.status:
-            self.post(
-                interface.AttemptEnded(
-                    action.message, attempt, action.endpoint, interface.Result.MOOT, 0, message is None
-                )
-            )
-            return
-        item = CallItem(
-            message.number, attempt, message.id, message.idempotency_key, message.body, action.timeout_us
-        )
-        if messages_log.debug_enabled:
-            self.observer.attempt_sent(
-                message, attempt, self.registry.uid(action.endpoint), action.timeout_us
-            )
-        if self.registry.max_batch(action.endpoint) > 1:
-            batches.setdefault(action.endpoint, []).append(item)
-        else:
-            self._call(action.endpoint, [item])
-
-    def _call(self, endpoint: int, items: list[CallItem]) -> None:
-        try:
-            self.calls.send(endpoint, items)
-        except Exception:  # must not leave slots and messages occupied
-            log.exception("call.failed", endpoint=self.registry.uid(endpoint))
-            for item in items:
-                if not item.ended:
-                    item.ended = True
-                    result = interface.Result.RESET if item.begun else interface.Result.MOOT
-                    self.attempts.end(item, endpoint, Outcome(result), 0)
-
     # Changes of endpoints, options and configuration
 
     def on_endpoint_list(self, change: dict[str, Any], form: interface.ListForm | None = None) -> None:
