Hold a new process's calls while discovery cuts its answers off; none beside an open watch

Cause: any failed question freed the calls of a process, also one that discovery had accepted and could still answer; and the age of the list counted alone, whether a watch was heard or not.

Change: a question that was accepted and cut off is told from one that was refused (state "cut off"): a new process waits for its next answer as long as for a silent discovery, 6 s from its first question on, and a running one counts discovery as reached when it accepted. A watch that is heard holds nothing back. A list that arrives in parts on an open watch is due like the answer to a question.

--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -97,13 +97,12 @@
         self.last_number += 1
         try:
             watch = WatchConnection(self.loop, self.address, self.last_number, self.known_revision, self)
-            self.connections.append(watch)
             watch.connect()
         except OSError as error:
             log.warning("discovery.unreachable", error=error)
-            self._remove(self.last_number)
             self._retry_after_failure(self.last_number, DiscoveryState.UNREACHABLE, self.waits.after_loss)
             return
+        self.connections.append(watch)
         self._set_timer(CONNECT_TIMEOUT_S, self._on_connect_overdue)
 
     def _make_room(self) -> None:
@@ -121,11 +120,11 @@
 
     def _close(self, watch: WatchConnection) -> None:
         watch.close()
-        self._remove(watch.number)
+        self._forget(watch)
+        self.freshness.on_closed(watch.number)
 
-    def _remove(self, number: int) -> None:
-        self.connections = [watch for watch in self.connections if watch.number != number]
-        self.freshness.on_closed(number)
+    def _forget(self, watch: WatchConnection) -> None:
+        self.connections = [other for other in self.connections if other is not watch]
 
     def _on_connect_overdue(self) -> None:
         """The connection may still come up; meanwhile another one is tried."""
@@ -239,8 +238,11 @@
     def on_refused(self, watch: WatchConnection) -> None:
         """Ask again after a wait; a server that refuses may be overloaded."""
         log.warning("discovery.turned_down", status=watch.status)
-        self._close(watch)
-        if watch.address == self.address:
+        watch.close()
+        self._forget(watch)
+        if watch.address != self.address:
+            self.freshness.on_closed(watch.number)
+        else:
             self._retry_after_failure(watch.number, DiscoveryState.REFUSED, self.waits.after_refusal)
 
     def on_ended(self, watch: WatchConnection) -> None:
@@ -250,14 +252,16 @@
         """
         if watch.connected_at is not None:
             log.info("watch.lost", revision=self.revision, status=watch.status)
-        self._remove(watch.number)
+        self._forget(watch)
         if watch.address != self.address:
+            self.freshness.on_closed(watch.number)
             return
         if watch.connected_at is None:
             self._retry_after_failure(watch.number, DiscoveryState.UNREACHABLE, self.waits.after_loss)
         elif not watch.is_answered:
-            self._retry_after_failure(watch.number, DiscoveryState.REFUSED, self.waits.after_loss)
+            self._retry_after_failure(watch.number, DiscoveryState.CUT_OFF, self.waits.after_loss)
         else:
+            self.freshness.on_closed(watch.number)
             self._reopen(watch)
 
     def _reopen(self, watch: WatchConnection) -> None:
--- a/hopmill/net/list_freshness.py
+++ b/hopmill/net/list_freshness.py
@@ -32,7 +32,8 @@
     ASKED = "asked"  # a question is under way, or its answer is not late yet
     SLOW = "slow"  # it has accepted a question whose answer is late
     SILENT = "silent"  # the same, for longer than an answer is waited for
-    REFUSED = "refused"  # it turned the last question down, or ended the connection before the answer
+    REFUSED = "refused"  # it turned the last question down
+    CUT_OFF = "cut off"  # it ended the connection on which the last answer was due
     UNREACHABLE = "unreachable"  # no connection could be established
 
 
@@ -46,6 +47,7 @@
         self.started_at = math.inf
         self.valid_until = -math.inf
         self.reload_bound_at = math.inf  # until discovery answers at its new address
+        self.first_accepted_at = math.inf  # of all questions of this process
         self.lateness_s = 0.0  # how late discovery tells what it has, at least
         self.open_watch: int | None = None  # the question whose answer has opened it
         self.heard_at = -math.inf  # when the open watch last brought something
@@ -63,12 +65,14 @@
 
     def on_moved(self, now: float) -> None:
         """Discovery has another address from now on; what it has there binds after RELOAD_BOUND_S."""
+        self.open_watch = None
         self.reload_bound_at = now + RELOAD_BOUND_S
         self.valid_until = min(self.valid_until, self.reload_bound_at)
 
     def on_accepted(self, now: float, question: int) -> None:
         """A connection is established and the question written."""
         self.failure = None
+        self.first_accepted_at = min(self.first_accepted_at, now)
         self.pending[question] = now
 
     def on_part_received(self, now: float, question: int) -> None:
@@ -86,12 +90,20 @@
         self._vouch(now)
 
     def on_heard(self, now: float, is_between_lists: bool) -> None:
-        """The open watch has brought something. is_between_lists: no part of a list is under way on it."""
+        """The open watch has brought something. is_between_lists: no part of a list is under way on it.
+
+        What it brings in parts is due like the answer to a question.
+        """
         gap_s = now - self.heard_at
         self.lateness_s = min(CHANGE_BOUND_S, max(self.lateness_s, gap_s - HEARTBEAT_INTERVAL_S))
         self.heard_at = now
+        if self.open_watch is None:
+            return
         if is_between_lists:
+            self.pending.pop(self.open_watch, None)
             self._vouch(now)
+        else:
+            self.pending.setdefault(self.open_watch, now)
 
     def _vouch(self, now: float) -> None:
         until = now - self.lateness_s + CHANGE_BOUND_S
@@ -104,13 +116,18 @@
             self.open_watch = None
 
     def on_failed(self, now: float, question: int, failure: DiscoveryState) -> None:
-        """Discovery refused the question or could not be reached: it tells a change later than now."""
+        """Discovery did not answer the question, so that what it has could not be told.
+
+        One that accepted it and ended the connection later could be reached at the former time.
+        """
+        accepted_at = self.pending.get(question, now)
         self.on_closed(question)
         if self.pending:
             return
         self.failure = failure
+        reached_at = accepted_at if failure is DiscoveryState.CUT_OFF else now
         if self.is_confirmed:
-            self.valid_until = max(self.valid_until, now + CHANGE_BOUND_S)
+            self.valid_until = max(self.valid_until, reached_at + CHANGE_BOUND_S)
 
     # Queries
 
@@ -123,13 +140,31 @@
         held_until = self._held_until(now)
         if now < held_until:
             return held_until
-        return self.valid_until if now < self.valid_until else math.inf
+        usable_until = self._usable_until()
+        return usable_until if now < usable_until else math.inf
 
     def _held_until(self, now: float) -> float:
-        if now < self.valid_until:
+        if now < self._usable_until():
+            return -math.inf
+        return max(self._start_hold_until(), self._awaited_until())
+
+    def _usable_until(self) -> float:
+        """Return until when calls may begin by the list, whatever is due."""
+        if self.open_watch is None or self.open_watch in self.pending:
+            return self.valid_until
+        return max(self.valid_until, self.heard_at + SILENCE_TIMEOUT_S)
+
+    def _start_hold_until(self) -> float:
+        """Return until when a new process waits for its first answer although none is due.
+
+        While discovery cuts its answers off, it is asked again for as long as a silent one is waited for.
+        """
+        if self.is_confirmed:
             return -math.inf
-        start_hold_until = -math.inf if self.is_confirmed else self.started_at + START_HOLD_S
-        return max(start_hold_until, self._awaited_until())
+        start_hold_until = self.started_at + START_HOLD_S
+        if self.failure is not DiscoveryState.CUT_OFF:
+            return start_hold_until
+        return max(start_hold_until, self.first_accepted_at + self.patience.silent_s)
 
     def _awaited_until(self) -> float:
         """Return until when an answer that is due is waited for."""
--- a/hopmill/soak/rules.py
+++ b/hopmill/soak/rules.py
@@ -115,7 +115,10 @@
     started_s = starts_s[number - 1] if number else 0.0
     told_s = max(told_s, started_s)
     for from_s, until_s in ledger.unreachable_s.get(call.courier, []) if excuses_silence else []:
-        if is_shared and from_s > started_s + STARTUP_S:  # it could ask before
+        # A process that could ask before goes by its old list only once discovery counts as down.
+        if is_shared and from_s > started_s + STARTUP_S and call.at_s < started_s + CHANGE_BOUND_S:
+            continue
+        if is_shared and from_s > started_s + CHANGE_BOUND_S:
             continue
         if told_s < until_s and not _is_listed_between(ledger, call.courier, started_s, from_s):
             told_s = until_s + binds_after_s
--- a/hopmill/soak/schedule.py
+++ b/hopmill/soak/schedule.py
@@ -89,6 +89,7 @@
     Kind.CONNECT_ERROR: ("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "ETIMEDOUT", "EHOSTUNREACH"),
     Kind.ACCEPT_ERROR: ("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO"),
 }
+MAX_CHOICE = 0.999
 MAX_CUTS = 3  # answers in a row that are cut
 
 
@@ -114,6 +115,11 @@
         return {name: value for name, value in asdict(self).items() if value} | {"kind": self.kind.value}
 
 
+def _draw_choice(rng: random.Random) -> float:
+    """Return a share below 1, so that it chooses one of any number."""
+    return min(MAX_CHOICE, round(rng.random(), 3))
+
+
 def draw(seed: int, seconds: float, couriers: int, faults_per_s: float) -> list[Fault]:
     """Return the faults of a soak, in order of time. The same arguments give the same faults."""
     rng = random.Random(f"soak {seed}")
@@ -130,7 +136,7 @@
                 rng.randrange(couriers) if kind not in (Kind.DRAIN, Kind.OUTAGE) else 0,
                 round(rng.uniform(0, MAX_START_PAUSE_S), 3) if kind in (Kind.KILL, Kind.RESTART) else 0.0,
                 rng.randint(1, MAX_CUTS) if kind is Kind.WATCH_CUT else 0,
-                round(rng.random(), 3),
+                _draw_choice(rng),
                 rng.randrange(1, MAX_SPARE_BYTES) if kind in (Kind.DISK_FULL, Kind.SHORT_IO) else 0,
                 rng.choice(CLOCK_STEPS_S) if kind is Kind.CLOCK_STEP else 0.0,
                 rng.choice(ERRORS[kind]) if kind in ERRORS else "",
@@ -148,7 +154,7 @@
         kind = rng.choice(CLIENT_KINDS)
         duration_s = round(rng.uniform(*DURATIONS_S[kind]), 3)
         courier = rng.randrange(couriers)
-        faults.append(Fault(round(at_s, 3), kind, duration_s, courier, choice=round(rng.random(), 3)))
+        faults.append(Fault(round(at_s, 3), kind, duration_s, courier, choice=_draw_choice(rng)))
     return faults
 
 
@@ -169,7 +175,7 @@
                 kind,
                 round(rng.uniform(*DURATIONS_S[kind]), 3),
                 courier,
-                choice=round(rng.random(), 3),
+                choice=_draw_choice(rng),
                 late_s=round(rng.uniform(*LATENESS_S[kind]), 3) if kind in LATENESS_S else 0.0,
                 refusal=rng.choice(list(Refusal)).value if kind is Kind.DISCOVERY_REFUSING else "",
             )
@@ -184,5 +190,5 @@
     at_s = FAULT_FREE_S
     while (at_s := at_s + rng.expovariate(ZONE_MOVES_PER_S)) < seconds - FAULT_FREE_S:
         duration_s = round(rng.uniform(*DURATIONS_S[Kind.ZONE_MOVE]), 3)
-        faults.append(Fault(round(at_s, 3), Kind.ZONE_MOVE, duration_s, choice=round(rng.random(), 3)))
+        faults.append(Fault(round(at_s, 3), Kind.ZONE_MOVE, duration_s, choice=_draw_choice(rng)))
     return faults
