Find watches that a courier gives up before their answer, in the soak

Need: with the stand-in's order of writes mended, a mutant that closes each unanswered watch after 3.2 s was no longer found: calls are held meanwhile, so no drain is late, and what is lost is time. Change: the server records a watch that its courier closes before the answer, with no newer one answered, and a rule judges it; processes that end are left out.

--- a/hopmill/soak/agent.py
+++ b/hopmill/soak/agent.py
@@ -33,7 +33,8 @@
     on_told_later: called if the courier could not be told before this later time after all.
     on_listed: called when something of the list is written to the courier. surplus: follows some answers to
     notices. on_had: given for a shared server, on which a change binds some time after it had it, while an
-    agent's changes bind at once; called with an endpoint that drains or is gone and the time.
+    agent's changes bind at once; called with an endpoint that drains or is gone and the time. on_given_up:
+    called when the courier closes a watch before its answer, and no newer one was answered.
     """
 
     def __init__(
@@ -44,11 +45,13 @@
         on_listed: Callable[[], None],
         surplus: SurplusSender,
         on_had: Callable[[str, float], None] | None = None,
+        on_given_up: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(on_notice)
         self.called, self.answered = surplus.called, surplus.answered
         self.on_told, self.on_told_later, self.on_listed = on_told, on_told_later, on_listed
-        self.on_had = on_had
+        self.on_had, self.on_given_up = on_had, on_given_up
+        self.asked = self.newest_answered = 0  # watches asked for, and the newest of them that was answered
         self.withdrawn: set[str] = set()  # uids that drain or are gone
         self.refusal: Refusal | None = None  # how watches are refused now
         self.is_down = False
@@ -126,10 +129,20 @@
             self.cuts -= 1
             writer.write(CUT_ANSWER)
             return
+        self.asked += 1
+        number = self.asked
+        watching = asyncio.ensure_future(super()._watch(path, reader, writer))
+        await asyncio.sleep(0)  # it writes the list
+        self.when_due(writer, lambda: self._record_answered(number))
         try:
-            await super()._watch(path, reader, writer)
+            await watching
         finally:
             self.mute_writers.pop(writer, None)
+            if self.newest_answered < number and not writer.is_closing():
+                self.on_given_up()
+
+    def _record_answered(self, number: int) -> None:
+        self.newest_answered = max(self.newest_answered, number)
 
     def _refuse(self, writer: asyncio.StreamWriter, refusal: Refusal) -> None:
         if refusal is Refusal.STATUS:
--- a/hopmill/soak/discovery_faults.py
+++ b/hopmill/soak/discovery_faults.py
@@ -59,6 +59,7 @@
             self.ledger.record_unreachable(courier.name, from_s, time.monotonic())
 
     async def _be_slow_at_a_start(self, courier: SoakCourier, fault: Fault) -> None:
+        self.ledger.record_stop(courier.name)
         await courier.stop(signal.SIGKILL)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._drain(fault, 0.0))
--- a/hopmill/soak/records.py
+++ b/hopmill/soak/records.py
@@ -34,6 +34,9 @@
     # By courier and endpoint: when a shared server of discovery had it.
     had_s: dict[tuple[str, str], float] = field(default_factory=dict)
 
+    given_up_s: list[tuple[str, float]] = field(default_factory=list)  # watches closed before their answer
+    stops_s: dict[str, list[float]] = field(default_factory=dict)  # by courier: ends of its processes begin
+
     zones: dict[str, str] = field(default_factory=dict)  # by endpoint: the zone in which it was first listed
     moved: set[str] = field(default_factory=set)  # endpoints that are listed in another zone since
     calls_after_move: set[str] = field(default_factory=set)  # messages that a moved endpoint was called with
@@ -75,6 +78,14 @@
         key = courier, endpoint
         self.told_s[key] = min(at_s, self.told_s.get(key, at_s))
 
+    def record_given_up(self, courier: str) -> None:
+        """Record that the courier has closed a watch whose answer was due."""
+        self.given_up_s.append((courier, time.monotonic()))
+
+    def record_stop(self, courier: str) -> None:
+        """Record that the process is to end from now on."""
+        self.stops_s.setdefault(courier, []).append(time.monotonic())
+
     def record_had(self, courier: str, endpoint: str, at_s: float) -> None:
         """Record that a shared server has a drain from then on; it binds later."""
         self.had_s.setdefault((courier, endpoint), at_s)
--- a/hopmill/soak/rules.py
+++ b/hopmill/soak/rules.py
@@ -31,9 +31,26 @@
         *memory_over_limit(ledger),
         *late_answers(ledger),
         *calls_for_clients_that_left(ledger),
+        *answers_given_up(ledger),
     ]
 
 
+def answers_given_up(ledger: SoakLedger) -> list[str]:
+    """Watches that a process closed although their answer was due, but for processes that end."""
+    return [
+        f"given up: {courier} closed a watch before its answer, at {at_s:.3f}"
+        for courier, at_s in ledger.given_up_s
+        if not _is_stopping(ledger, courier, at_s)
+    ]
+
+
+def _is_stopping(ledger: SoakLedger, courier: str, at_s: float) -> bool:
+    """Return whether a process of the courier was to end and the next one had not begun."""
+    latest_stop_s = max((s for s in ledger.stops_s.get(courier, []) if s <= at_s), default=-1.0)
+    latest_start_s = max((s for s in ledger.starts_s.get(courier, []) if s <= at_s), default=0.0)
+    return latest_stop_s > latest_start_s
+
+
 def repeats_in_another_zone(ledger: SoakLedger) -> list[str]:
     """Messages of the class keyed by zone that endpoints of two zones have been called with.
 
--- a/hopmill/soak/run.py
+++ b/hopmill/soak/run.py
@@ -84,6 +84,7 @@
             lambda: self.ledger.record_listed(name),
             SurplusSender(random.Random(f"agent {number} {self.options.seed}")),
             on_had if schedule.asks_shared_server(number) else None,
+            lambda: self.ledger.record_given_up(name),
         )
         await agent.start()
         for target in self.endpoints.targets.values():
@@ -209,6 +210,7 @@
             await self._restart(courier, fault)
 
     async def _restart(self, courier: SoakCourier, fault: Fault) -> None:
+        self.ledger.record_stop(courier.name)
         await courier.stop(signal.SIGTERM if fault.kind is Kind.RESTART else signal.SIGKILL)
         async with asyncio.TaskGroup() as group:
             if fault.kind is Kind.KILL:
@@ -218,6 +220,7 @@
 
     async def _end(self) -> None:
         for courier in self.couriers:
+            self.ledger.record_stop(courier.name)
             self.client_faults.record_memory(courier)
             courier.signal(signal.SIGCONT)
             courier.kill()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,6 +80,13 @@
         assert bool(rules.late_calls(ledger)) is (at_s > binds_s + grace_s)
 
 
+def test_a_watch_that_is_closed_before_its_answer_is_found_unless_its_process_ends():
+    ledger = SoakLedger(starts_s={"c": [1.0, 8.0]}, stops_s={"c": [6.0]}, given_up_s=[("c", 6.5)])
+    assert not rules.answers_given_up(ledger)
+    ledger.given_up_s = [("c", 5.0), ("c", 9.0)]
+    assert len(rules.answers_given_up(ledger)) == 2
+
+
 def test_a_reserved_port_is_refused_and_given_to_nobody_but_its_server():
     with reserve_port() as reservation:
         port = reservation.getsockname()[1]
